--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,15 @@
+import type * as errors from '@mustarddeck/errors'
+import type * as platform from '@mustarddeck/platform'
+import type * as types from '@mustarddeck/types'
+
+/** Operations on the rows `membership` and `members/<failure domain>`; each retries conflicts and lost answers. */
+export interface Registry {
+  /** Reads all rows; the result may be stale. */
+  read (): Promise<errors.Result<types.Membership, platform.StoreError>>
+  /** Adds the member, and counts another incarnation of the same worker as departed. */
+  register (member: types.Member): Promise<errors.Result<types.Membership, platform.StoreError>>
+  /** Removes that incarnation of the worker if it is still listed. */
+  depart (member: types.Member): Promise<errors.Result<types.Membership, platform.StoreError>>
+  /** Adds the fence on condition that no row changed; success proves that the returned membership is not stale. */
+  fence (incarnation: types.Incarnation): Promise<errors.Result<types.Membership, platform.StoreError>>
+}
--- /dev/null
+++ b/packages/messages/src/entry.ts
@@ -0,0 +1,58 @@
+import type * as typebox from '@sinclair/typebox'
+import type * as types from '@mustarddeck/types'
+import * as schema from './schema.ts'
+
+const { Type, Name, Count, Duration, bounds } = schema
+
+export const Submission = Type.Object({
+  id: Type.Optional(Name<types.JobId>()),
+  team: Name<types.TeamName>(),
+  type: Name<types.TaskTypeName>(),
+  tasks: Type.Array(Type.Object({ name: Name<types.TaskName>(), payload: Type.Unknown() }), {
+    minItems: 1, maxItems: bounds.MAX_TASKS
+  }),
+  idempotent: Type.Boolean(),
+  maxWaitMs: Type.Optional(Duration),
+  digest: Name<types.Digest>()
+})
+
+/** Entry to entry: a submission whose id names the receiver as owner. */
+export const Forward = Type.Object({ kind: Type.Literal('forward'), request: Count, submission: Submission })
+
+/** Entry to entry: a question for the state of a job that the receiver owns. */
+export const Inquire = Type.Object({ kind: Type.Literal('inquire'), request: Count, job: Name<types.JobId>() })
+
+/** Entry to entry: a caller's cancellation of a job that the receiver owns. */
+export const CancelJob = Type.Object({ kind: Type.Literal('cancel-job'), request: Count, job: Name<types.JobId>() })
+
+/** Shape of an outcome; its variants come from the sender's own typed code. */
+const Outcome = Type.Unsafe<types.Outcome>(Type.Object({
+  kind: Type.Union([
+    Type.Literal('complete'), Type.Literal('failed'), Type.Literal('not-run'), Type.Literal('unknown'),
+    Type.Literal('expired'), Type.Literal('conflict'), Type.Literal('pending')
+  ]),
+  job: Type.Optional(Type.String())
+}))
+
+/** Entry to entry: answer to `forward`, `inquire` or `cancel-job` with the same request number on this link. */
+export const Forwarded = Type.Object({ kind: Type.Literal('forwarded'), request: Count, outcome: Outcome })
+
+const Known = Type.Object({ job: Name<types.JobId>(), digest: Name<types.Digest>(), outcome: Outcome })
+
+/** Entry to entry: the sender is leaving and hands over what it knows of its jobs. All of them are final. */
+export const Handover = Type.Object({
+  kind: Type.Literal('handover'),
+  incarnations: Type.Array(Name<types.Incarnation>(), { maxItems: bounds.MAX_LIST }),
+  /** Highest retired block by incarnation, in the order of `incarnations`. */
+  retired: Type.Array(Count, { maxItems: bounds.MAX_LIST }),
+  jobs: Type.Array(Known, { maxItems: bounds.MAX_LIST }),
+  /** True in the last message of a handover; ids without a job in it were never run and never will be. */
+  complete: Type.Boolean()
+})
+
+/** Entry to entry: the handover is complete; the receiver answers for the leaving entry's jobs from now on. */
+export const HandoverAcknowledged = Type.Object({ kind: Type.Literal('handover-acknowledged') })
+
+export type Forward = typebox.Static<typeof Forward>
+export type Handover = typebox.Static<typeof Handover>
+export type Forwarded = typebox.Static<typeof Forwarded>
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from './table.ts'
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,5 @@
+export * from './ids.ts'
+export * from './job.ts'
+export * from './outcome.ts'
+export * from './rules.ts'
+export * from './membership.ts'
