--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,1 @@
+export * from './interface.ts'
