Add the platform's HTTP client and in-memory store

Packages that use the table and the object store need one implementation for tests and one for deployments. The client classifies each failure: a write is unavailable only if the platform refused it or the failed system call precedes the first byte; without a usable answer it is uncertain. The in-memory store shows every row at an independent age under stale reads, while conditions see the latest state.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,6 @@
 export * from './table.ts'
+export * from './memory.ts'
+export * from './client.ts'
+export * from './drive.ts'
+export * from './retry.ts'
+export * as protocol from './protocol.ts'
--- /dev/null
+++ b/packages/platform/src/memory.test.ts
@@ -0,0 +1,87 @@
+import * as clock from '@mustarddeck/clock'
+import * as errors from '@mustarddeck/errors'
+import { expect } from 'chai'
+import * as platform from './index.ts'
+
+const create = (faults: Partial<platform.Faults> = {}) => {
+  const timers = clock.createVirtual()
+  return { timers, ...platform.createMemory({ timers, faults }) }
+}
+const put = (key: string, version: number, value: unknown): platform.Transaction =>
+  ({ conditions: [{ key, version }], writes: [{ key, value }] })
+
+describe('in-memory store', () => {
+  it('writes all rows of a transaction or none', async () => {
+    const { table } = create()
+    await table.transact(put('a', 0, 1))
+    const refused = await table.transact({
+      conditions: [{ key: 'a', version: 0 }, { key: 'c', version: 0 }], writes: [{ key: 'b', value: 1 }]
+    })
+    expect(refused).to.deep.equal(errors.error({ kind: 'conflict', keys: ['a'] }))
+    expect(await table.list('')).to.deep.equal(errors.ok([{ key: 'a', version: 1, value: 1 }]))
+  })
+
+  // With a repeated version, a condition from before the deletion would hold on the new row.
+  it('never repeats a version of a row that was deleted and written again', async () => {
+    const { table } = create()
+    for (const [version, value] of [[0, 1], [1, undefined], [0, 2]] as const) {
+      expect((await table.transact(put('a', version, value))).kind).to.equal('ok')
+    }
+    expect(await table.read('a')).to.deep.equal(errors.ok({ key: 'a', version: 3, value: 2 }))
+  })
+
+  it('answers stale reads from the past while conditions see the present', async () => {
+    const { table, faults } = create()
+    for (let version = 0; version < 50; version += 1) await table.transact(put('a', version, version + 1))
+    faults.staleness = 10
+    const seen = new Set<number>()
+    for (let read = 0; read < 200; read += 1) {
+      const row = await table.read('a')
+      if (row.kind === 'ok') seen.add(row.value!.version)
+    }
+    expect(Math.min(...seen)).to.equal(40)
+    expect(Math.max(...seen)).to.equal(50)
+    expect((await table.transact(put('a', 49, 0))).kind).to.equal('error')
+    expect((await table.transact(put('a', 50, 0))).kind).to.equal('ok')
+  })
+
+  it('tells lost answers and lost requests apart only by what was written', async () => {
+    const { table, faults } = create({ lostAnswers: 1 })
+    const lostAnswer = await table.transact(put('a', 0, 1))
+    Object.assign(faults, { lostAnswers: 0, lostRequests: 1 })
+    const lostRequest = await table.transact(put('b', 0, 1))
+    expect(lostRequest).to.deep.equal(lostAnswer)
+    const rows = await table.list('')
+    expect(rows.kind === 'ok' && rows.value.map(({ key }) => key)).to.deep.equal(['a'])
+  })
+
+  it('delays requests on the clock that is passed in', async () => {
+    const { timers, table } = create({ delayMs: 100 })
+    await platform.drive(timers, table.transact(put('a', 0, 1)))
+    expect(timers.monotonic()).to.be.within(100, 200)
+  })
+})
+
+describe('retry', () => {
+  const run = async (results: Array<'conflict' | 'uncertain' | 'unavailable' | 'ok'>) => {
+    const timers = clock.createVirtual()
+    const random = { float: () => 0.5 } as never
+    let step = 0
+    const attempt = async (): Promise<errors.Result<number, platform.StoreError>> => {
+      const kind = results[step++]!
+      if (kind === 'ok') return errors.ok(step)
+      return errors.error(kind === 'conflict' ? { kind, keys: [] } : { kind, message: '' })
+    }
+    const bounds = { timers, random, attempts: results.length }
+    const result = await platform.drive(timers, platform.retry(bounds, attempt))
+    return result.kind === 'ok' ? 'ok' : result.error.kind
+  }
+
+  // `unavailable` promises that nothing was written, which nobody can know after a lost answer.
+  it('reports uncertain once an answer was lost, and unavailable only if nothing can have been written', async () => {
+    expect(await run(['conflict', 'uncertain', 'unavailable', 'ok'])).to.equal('ok')
+    expect(await run(['uncertain', 'conflict', 'unavailable'])).to.equal('uncertain')
+    expect(await run(['conflict', 'unavailable', 'ok'])).to.equal('unavailable')
+    expect(await run(['conflict', 'conflict'])).to.equal('unavailable')
+  })
+})
