--- /dev/null
+++ b/packages/platform-stand-in/src/faults.ts
@@ -0,0 +1,34 @@
+import type * as router from '@koa/router'
+import * as platform from '@mustarddeck/platform'
+import * as typebox from '@sinclair/typebox'
+import * as value from '@sinclair/typebox/value'
+
+const Type = typebox.Type
+const Probability = Type.Number({ minimum: 0, maximum: 1 })
+
+/** Where the faults in force are read (GET) and changed (PATCH with some of the fields). Not part of the platform. */
+export const FAULTS_PATH = '/faults'
+
+/** The fields of `platform.Faults`, each optional. */
+export const Faults = Type.Partial(Type.Object({
+  down: Type.Boolean(),
+  delayMs: Type.Number({ minimum: 0 }),
+  lostAnswers: Probability,
+  lostRequests: Probability,
+  staleness: Type.Integer({ minimum: 0, maximum: platform.MAX_STALENESS })
+}), { additionalProperties: false })
+
+/** Adds the control of faults; it answers even while the store is down. */
+export const add = (api: router.Router, memory: platform.Memory): void => {
+  api.get(FAULTS_PATH, (context) => { context.body = memory.faults })
+  api.patch(FAULTS_PATH, (context) => {
+    const change: unknown = context.request.body
+    if (!value.Value.Check(Faults, change)) {
+      context.status = 400
+      context.body = { error: 'invalid-faults' }
+      return
+    }
+    Object.assign(memory.faults, change)
+    context.body = memory.faults
+  })
+}
--- /dev/null
+++ b/packages/platform-stand-in/src/index.ts
@@ -0,0 +1,2 @@
+export * from './server.ts'
+export { FAULTS_PATH } from './faults.ts'
