Add the membership registry

A departed incarnation is refused when it registers again, because owners take its records for lost.

--- /dev/null
+++ b/packages/membership/src/registry.test.ts
@@ -0,0 +1,165 @@
+import * as clock from '@mustarddeck/clock'
+import * as errors from '@mustarddeck/errors'
+import * as platform from '@mustarddeck/platform'
+import * as random from '@mustarddeck/random'
+import type * as types from '@mustarddeck/types'
+import { expect } from 'chai'
+import * as membership from './index.ts'
+
+const FAULTY = { delayMs: 5, lostAnswers: 0.2, lostRequests: 0.1, staleness: 8 }
+
+const member = (worker: string, incarnation: string, failureDomain = 'khangai-a') =>
+  ({ worker, incarnation, failureDomain }) as types.Member
+
+const create = ({ faults = {}, seed = 1 }: { faults?: Partial<platform.Faults>, seed?: number } = {}) => {
+  const timers = clock.createVirtual()
+  const store = platform.createMemory({ timers, faults, seed })
+  const registry = (stream: number, attempts = 200) =>
+    membership.create({ table: store.table, retry: { timers, random: random.create(seed * 1000 + stream), attempts } })
+  const run = async <Value>(promise: Promise<errors.Result<Value, platform.StoreError>>): Promise<Value> => {
+    const result = await platform.drive(timers, promise)
+    if (result.kind === 'error') throw new Error(JSON.stringify(result.error))
+    return result.value
+  }
+  return { ...store, timers, registry, run }
+}
+const incarnations = ({ members }: types.Membership) => members.map(({ incarnation }) => incarnation).sort()
+
+describe('membership', () => {
+  it('counts a replaced and a departed incarnation once each, whatever answers are lost', async () => {
+    for (let seed = 1; seed <= 50; seed += 1) {
+      const { registry, run, faults } = create({ faults: FAULTY, seed })
+      const agent = registry(1)
+      await run(agent.register(member('w1', 'one')))
+      await run(agent.register(member('w2', 'two')))
+      await run(agent.register(member('w1', 'three')))
+      await run(agent.depart(member('w2', 'two')))
+      await run(agent.depart(member('w2', 'two')))
+      Object.assign(faults, platform.NO_FAULTS)
+      const after = await run(agent.read())
+      expect(incarnations(after), `seed ${seed}`).to.deep.equal(['three'])
+      expect(after.departed.map(({ index, incarnation }) => [index, incarnation]), `seed ${seed}`)
+        .to.deep.equal([[1, 'one'], [2, 'two']])
+      expect(after.departures).to.equal(2)
+    }
+  })
+
+  it('counts the old incarnation of a worker that moved to another failure domain', async () => {
+    const { registry, run } = create()
+    await run(registry(1).register(member('w1', 'one', 'khangai-a')))
+    const after = await run(registry(1).register(member('w1', 'two', 'khangai-b')))
+    expect(after.members).to.deep.equal([member('w1', 'two', 'khangai-b')])
+    expect(after.departures).to.equal(1)
+  })
+
+  // Owners take the records of a departed incarnation for lost; it must not start tasks as a member again.
+  it('refuses to register an incarnation that has departed', async () => {
+    const { registry, run, timers } = create()
+    await run(registry(1).register(member('w1', 'one')))
+    await run(registry(2).depart(member('w1', 'one')))
+    const again = await platform.drive(timers, registry(1).register(member('w1', 'one')))
+    expect(again).to.deep.equal(errors.error({ kind: 'conflict', keys: ['members/khangai-a'] }))
+
+    const late = registry(3)
+    await run(late.register(member('w2', 'late')))
+    await run(registry(2).depart(member('w2', 'late')))
+    for (let index = 0; index < membership.MAX_DEPARTED; index += 1) {
+      await run(registry(2).register(member('w3', `n${index}`)))
+    }
+    await run(registry(2).depart(member('w3', `n${membership.MAX_DEPARTED - 1}`)))
+    expect((await run(registry(2).read())).departed.some(({ incarnation }) => incarnation === 'late')).to.equal(false)
+    const afterMany = await platform.drive(timers, late.register(member('w2', 'late')))
+    expect(afterMany.kind).to.equal('error')
+  })
+
+  it('keeps the latest departures only', async () => {
+    const { registry, run } = create()
+    const agent = registry(1)
+    const count = membership.MAX_DEPARTED + 10
+    for (let index = 0; index <= count; index += 1) await run(agent.register(member('w1', `n${index}`)))
+    const { departures, departed } = await run(agent.read())
+    expect(departures).to.equal(count)
+    expect(departed.length).to.equal(membership.MAX_DEPARTED)
+    expect([departed[0]!.index, departed.at(-1)!.index]).to.deep.equal([count - membership.MAX_DEPARTED + 1, count])
+  })
+
+  it('reports an outage at once, and doubt after a lost answer', async () => {
+    const { registry, timers, faults } = create({ faults: { down: true } })
+    const down = await platform.drive(timers, registry(1, 5).fence('x' as types.Incarnation))
+    expect(down.kind === 'error' && down.error.kind).to.equal('unavailable')
+    expect(timers.monotonic()).to.equal(0)
+    Object.assign(faults, { down: false, lostAnswers: 1 })
+    const lost = await platform.drive(timers, registry(1, 5).fence('x' as types.Incarnation))
+    expect(lost.kind === 'error' && lost.error.kind).to.equal('uncertain')
+  })
+
+  it('refuses rows that it did not write', async () => {
+    const { registry, timers, table } = create()
+    await table.transact({ conditions: [], writes: [{ key: 'membership', value: { departures: 'many' } }] })
+    const result = await platform.drive(timers, registry(1).read())
+    expect(result.kind === 'error' && result.error.kind).to.equal('unavailable')
+  })
+})
+
+describe('fences and racing registrations', () => {
+  interface Done { begun: number, ended: number, seen: types.Membership }
+  const DOMAINS = ['khangai-a', 'khangai-b', 'khangai-c']
+
+  /** Runs agents that register, replace one another and depart, and entries that fence, all at the same time. */
+  const race = async (seed: number) => {
+    const { registry, timers, run } = create({ faults: FAULTY, seed })
+    const generator = random.create(seed)
+    const registered = new Map<string, Done>()
+    const departing = new Map<string, number>()
+    const fenced = new Map<string, Done>()
+    const timed = async (operation: Promise<errors.Result<types.Membership, platform.StoreError>>) => {
+      const begun = timers.monotonic()
+      const result = await operation
+      if (result.kind === 'error') throw new Error(JSON.stringify(result.error))
+      return { begun, ended: timers.monotonic(), seen: result.value }
+    }
+    const start = (): Promise<void> =>
+      new Promise((resolve) => timers.after(generator.float() * 300, resolve))
+    const agent = async (index: number): Promise<void> => {
+      const rows = registry(index)
+      await start()
+      for (let life = 0; life < 2; life += 1) {
+        const one = member(`w${index}`, `w${index}-${life}`, DOMAINS[index % DOMAINS.length])
+        if (life > 0) departing.set(`w${index}-${life - 1}`, timers.monotonic())
+        registered.set(one.incarnation, await timed(rows.register(one)))
+      }
+      if (index % 2 > 0) return
+      departing.set(`w${index}-1`, timers.monotonic())
+      await timed(rows.depart(member(`w${index}`, `w${index}-1`, DOMAINS[index % DOMAINS.length])))
+    }
+    const entry = async (index: number): Promise<void> => {
+      await start()
+      fenced.set(`x${index}`, await timed(registry(100 + index).fence(`x${index}` as types.Incarnation)))
+    }
+    const all = [...Array(6).keys()].map(agent).concat([...Array(4).keys()].map(entry))
+    await run(Promise.all(all).then(() => errors.ok(undefined)))
+    return { registered, departing, fenced }
+  }
+
+  // An agent missing from the list that does not know of the fence could still start the fenced owner's tasks.
+  it('either lists the agent for the fence or shows the fence to the agent', async () => {
+    let ordered = 0
+    for (let seed = 1; seed <= 60; seed += 1) {
+      const { registered, departing, fenced } = await race(seed)
+      for (const [owner, fence] of fenced) {
+        expect(fence.seen.fences).to.include(owner)
+        for (const [incarnation, registration] of registered) {
+          const label = `seed ${seed}: ${owner} and ${incarnation}`
+          const listed = fence.seen.members.some((other) => other.incarnation === incarnation)
+          const gone = (departing.get(incarnation) ?? Infinity) <= fence.ended
+          const knows = registration.seen.fences.includes(owner as types.Incarnation)
+          expect(listed || gone || knows, label).to.equal(true)
+          if (registration.ended < fence.begun) expect(listed || gone, `${label}: stale list`).to.equal(true)
+          if (fence.ended < registration.begun) expect(knows, `${label}: unseen fence`).to.equal(true)
+          if (registration.ended < fence.begun || fence.ended < registration.begun) ordered += 1
+        }
+      }
+    }
+    expect(ordered, 'pairs that did not overlap').to.be.greaterThan(100)
+  })
+})
