--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,2 @@
 export * from './interface.ts'
+export * from './dispatcher.ts'
