--- /dev/null
+++ b/packages/agent-core/src/core.ts
@@ -0,0 +1,248 @@
+import * as journals from '@mustarddeck/journal'
+import type * as messages from '@mustarddeck/messages'
+import * as slotDivision from '@mustarddeck/slots'
+import * as types from '@mustarddeck/types'
+import type * as core from './interface.ts'
+import * as orphanOwners from './orphans.ts'
+import * as entryPeers from './peers.ts'
+import * as runningTasks from './running.ts'
+
+/** Interval in ms at which absent owners are looked for. */
+const ORPHAN_CHECK_MS = 1000
+
+type Stage = 'active' | 'leaving' | 'left'
+
+export const create = ({ settings }: { settings: core.Settings }): core.AgentCore => {
+  const journal = journals.create({ maxBytes: settings.maxBytes })
+  const slots = slotDivision.create({ slots: settings.slots })
+  const peers = entryPeers.create()
+  const running = runningTasks.create(settings.resources)
+  const orphans = orphanOwners.create({
+    afterMs: settings.orphanAfterMs, retentionMs: settings.orphanRetentionMs
+  })
+  /** Links that were told of a running record and want its end. */
+  const watchers = new Map<types.JobId, Set<types.LinkId>>()
+  let registered = false
+  let stage: Stage = 'active'
+  let orphanCheckAt = ORPHAN_CHECK_MS
+  /** End of the wait for absent owners while the agent leaves. */
+  let graceEndsAt: number | undefined
+  let effects: core.Effect[] = []
+
+  const send = (link: types.LinkId, message: messages.Message): void => {
+    effects.push({ kind: 'send', link, message })
+  }
+  const log = (event: string, fields: Record<string, string | number | boolean>): void => {
+    effects.push({ kind: 'decision', event, fields })
+  }
+  const apply = (moves: slotDivision.Move[]): void => {
+    for (const { kind, link, slots: count } of moves) send(link, { kind, slots: count })
+  }
+
+  const fence = (incarnation: types.Incarnation): void => {
+    if (!journal.fence(incarnation)) return
+    log('fence', { incarnation })
+    const owner = peers.ofOwner(incarnation)
+    if (owner) send(owner.link, { kind: 'fenced', incarnation })
+  }
+
+  const freeSlot = (link: types.LinkId, now: number): boolean => {
+    const { renewed, moves } = slots.end(link, now)
+    apply(moves)
+    return renewed
+  }
+
+  const reject = (link: types.LinkId, start: messages.Start, reason: messages.RejectionReason): void => {
+    const { job, index, attempt } = start
+    log('reject', { job, index, reason })
+    send(link, { kind: 'rejected', job, index, attempt, reason })
+  }
+
+  const startTask = (link: types.LinkId, start: messages.Start, now: number): void => {
+    if (stage !== 'active') return reject(link, start, 'leaving')
+    if (!slots.start(link)) return reject(link, start, 'no-slot')
+    const reason = running.fits(start.resources) ? recordStart(start) : 'no-resources'
+    if (!reason) {
+      running.add({ start, link })
+      effects.push({ kind: 'execute', start })
+      return
+    }
+    reject(link, start, reason)
+    if (freeSlot(link, now)) send(link, { kind: 'grant', slots: 1 })
+  }
+  const recordStart = (start: messages.Start): messages.RejectionReason | undefined => {
+    const admission = journal.record(start, registered)
+    return admission.kind === 'rejected' ? admission.reason : undefined
+  }
+
+  const notifyWatchers = (job: types.JobId, index: number, outcome?: messages.TaskEnd): void => {
+    const links = watchers.get(job)
+    if (!links) return
+    for (const link of links) if (peers.get(link)) send(link, { kind: 'record-update', job, index, outcome })
+    const [record] = journal.find([job])
+    if (!record || record.tasks.every((task) => task.outcome)) watchers.delete(job)
+  }
+
+  const endTask = (job: types.JobId, index: number, execution: core.Execution, now: number): void => {
+    const task = running.remove(job, index)
+    if (!task) return
+    const outcome = execution.kind === 'not-started' ? undefined : execution
+    if (outcome) journal.end(job, index, outcome)
+    else journal.remove(job, index)
+    const owner = peers.ofOwner(types.parseJobId(job)!.incarnation)
+    const slotKept = freeSlot(task.link, now)
+    const renewed = slotKept && owner?.link === task.link
+    if (owner) reportEnd(owner.link, task.start, outcome, renewed)
+    if (slotKept && !(renewed && outcome)) send(task.link, { kind: 'grant', slots: 1 })
+    notifyWatchers(job, index, outcome)
+  }
+  const reportEnd = (
+    link: types.LinkId, start: messages.Start, outcome: messages.TaskEnd | undefined, renewed: boolean
+  ): void => {
+    const { job, index, attempt } = start
+    if (outcome) send(link, { kind: 'finished', job, index, attempt, outcome, renewed })
+    else reject(link, start, 'backend-unreachable')
+  }
+
+  const recover = (link: types.LinkId, { incarnation, jobs }: messages.Recover): void => {
+    fence(incarnation)
+    const records = journal.find(jobs)
+    for (const { job, tasks } of records) {
+      if (tasks.some((task) => !task.outcome)) watch(job, link)
+    }
+    send(link, { kind: 'records', incarnation, ...journal.state(incarnation), jobs, records })
+  }
+  const watch = (job: types.JobId, link: types.LinkId): void => {
+    const links = watchers.get(job) ?? new Set()
+    watchers.set(job, links.add(link))
+  }
+
+  const tellFences = (peer: entryPeers.EntryPeer): void => {
+    for (const incarnation of peer.owned) {
+      if (journal.isFenced(incarnation)) send(peer.link, { kind: 'fenced', incarnation })
+    }
+  }
+
+  const leave = (now: number): void => {
+    if (stage !== 'active') return
+    stage = 'leaving'
+    graceEndsAt = now + settings.leaveGraceMs
+    slots.close()
+    log('leave', { running: running.size() })
+    for (const peer of peers.all()) announceLeave(peer)
+  }
+  const announceLeave = (peer: entryPeers.EntryPeer): void => {
+    peer.acknowledged = false
+    send(peer.link, { kind: 'leaving', drained: running.size() === 0 })
+  }
+  const checkLeave = (now: number): void => {
+    if (graceEndsAt !== undefined && now >= graceEndsAt) graceEndsAt = undefined
+    if (stage !== 'leaving' || running.size() > 0) return
+    for (const peer of peers.all()) if (!peer.acknowledged) return
+    const absent = journal.owners().some((owner) => !peers.ofOwner(owner))
+    if (absent && graceEndsAt !== undefined) return
+    stage = 'left'
+    effects.push({ kind: 'left' })
+  }
+
+  const receive = (link: types.LinkId, message: messages.Message, now: number): void => {
+    const peer = peers.get(link)
+    if (!peer) return
+    switch (message.kind) {
+      case 'start': return startTask(link, message, now)
+      case 'identity':
+        peer.owned = new Set(message.incarnations)
+        return tellFences(peer)
+      case 'demand': return apply(slots.demand(link, message.waiting, now))
+      case 'heartbeat':
+        if (message.waiting) apply(slots.demand(link, message.waiting, now))
+        return
+      case 'returned': return apply(slots.returned(link, message.slots, now))
+      case 'cancel-tasks': return abort(message.job, message.indexes)
+      case 'retire':
+        if (peer.owned.has(message.incarnation)) journal.retire(message.incarnation, message.block)
+        return
+      case 'recover': return recover(link, message)
+      case 'resume':
+        return send(link, { kind: 'resumed', jobs: message.jobs, records: journal.find(message.jobs) })
+      case 'departed':
+        if (message.incarnation === settings.incarnation) leave(now)
+        return
+      case 'leaving-acknowledged':
+        peer.acknowledged = running.size() === 0
+    }
+  }
+  const abort = (job: types.JobId, indexes: number[]): void => {
+    for (const index of indexes) {
+      if (running.has(job, index)) effects.push({ kind: 'abort', job, index })
+    }
+  }
+
+  const linkUp = (link: types.LinkId, hello: messages.Hello, now: number): void => {
+    if (hello.role !== 'entry') {
+      effects.push({ kind: 'close', link, reason: 'an agent accepts links to entries only' })
+      return
+    }
+    const old = peers.ofProcess(hello.incarnation)
+    if (old) {
+      linkDown(old.link, now)
+      effects.push({ kind: 'close', link: old.link, reason: 'replaced' })
+    }
+    const peer = peers.add(link, hello)
+    tellFences(peer)
+    if (stage !== 'active') return announceLeave(peer)
+    if (registered) send(link, { kind: 'registered' })
+    apply(slots.connected(link, now))
+  }
+  const linkDown = (link: types.LinkId, now: number): void => {
+    if (peers.remove(link)) apply(slots.disconnected(link, now))
+  }
+
+  const register = (fences: types.Incarnation[]): void => {
+    for (const incarnation of fences) fence(incarnation)
+    registered = true
+    for (const peer of peers.all()) send(peer.link, { kind: 'registered' })
+  }
+
+  const checkOrphans = (now: number): void => {
+    if (now < orphanCheckAt) return
+    orphanCheckAt = now + ORPHAN_CHECK_MS
+    const isLinked = (owner: types.Incarnation): boolean => peers.ofOwner(owner) !== undefined
+    for (const { incarnation, action } of orphans.check(journal.owners(), isLinked, now)) {
+      fence(incarnation)
+      if (action === 'fence') continue
+      log('drop-records', { incarnation })
+      journal.drop(incarnation)
+    }
+  }
+
+  const step = (input: core.Input, now: number): void => {
+    switch (input.kind) {
+      case 'link-up': return linkUp(input.link, input.hello, now)
+      case 'link-down': return linkDown(input.link, now)
+      case 'message': return receive(input.link, input.message, now)
+      case 'executed':
+        endTask(input.job, input.index, input.execution, now)
+        if (stage === 'leaving' && running.size() === 0) {
+          for (const peer of peers.all()) announceLeave(peer)
+        }
+        return
+      case 'registered': return register(input.fences)
+      case 'leave': return leave(now)
+      case 'timer':
+        checkOrphans(now)
+        apply(slots.timer(now))
+    }
+  }
+  return {
+    handle: (input, now) => {
+      effects = []
+      step(input, now)
+      checkLeave(now)
+      return effects
+    },
+    deadline: () => Math.min(orphanCheckAt, slots.deadline() ?? Infinity, graceEndsAt ?? Infinity),
+    running: () => running.size(),
+    bytes: () => journal.bytes()
+  }
+}
--- a/packages/agent-core/src/interface.ts
+++ b/packages/agent-core/src/interface.ts
@@ -22,7 +22,7 @@
   | { kind: 'execute', start: messages.Start }
   /** Abort the call; `executed` still follows. */
   | { kind: 'abort', job: types.JobId, index: number }
-  /** The agent may depart from its row and exit: no task runs, and every owner has all outcomes. */
+  /** The incarnation is over: depart from the row, then exit, or go on under a new incarnation after `departed`. */
   | { kind: 'left' }
   /** One log line. */
   | { kind: 'decision', event: string, fields: Record<string, string | number | boolean> }
@@ -40,6 +40,7 @@
 
 export interface Settings {
   worker: types.WorkerName
+  incarnation: types.Incarnation
   slots: number
   resources: types.Resources
   /** Limit of records and outcomes in bytes; at the limit, starts are rejected. */
@@ -48,4 +49,6 @@
   orphanAfterMs: number
   /** Time after such a fence for which the records are kept. */
   orphanRetentionMs: number
+  /** Longest time in ms that a leaving agent waits for owners without a link that have not seen all outcomes. */
+  leaveGraceMs: number
 }
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,1 @@
+export * from './ledger.ts'
--- a/packages/messages/src/agent.ts
+++ b/packages/messages/src/agent.ts
@@ -128,9 +128,12 @@
   records: Type.Array(JobRecord, { maxItems: bounds.MAX_LIST })
 })
 
-/** Agent to entry: a task ended whose record was sent as running in `records`. */
+/**
+ * Agent to entry: a task ended whose record was sent as running in `records`. Without an outcome, the backend server
+ * has certainly not started the task, and the record is gone.
+ */
 export const RecordUpdate = Type.Object({
-  kind: Type.Literal('record-update'), job: Name<types.JobId>(), index: Index, outcome: TaskOutcome
+  kind: Type.Literal('record-update'), job: Name<types.JobId>(), index: Index, outcome: Type.Optional(TaskOutcome)
 })
 
 /** Agent to entry: this incarnation of the entry can start nothing here any more. */
@@ -142,6 +145,9 @@
 /** Agent to entry: the agent is leaving; all its grants are withdrawn. `drained`: no task runs any more. */
 export const Leaving = Type.Object({ kind: Type.Literal('leaving'), drained: Type.Boolean() })
 
+/** Entry to agent: this incarnation of the agent was removed from the membership; it must take a new one. */
+export const Departed = Type.Object({ kind: Type.Literal('departed'), incarnation: Name<types.Incarnation>() })
+
 /** Entry to agent: every message before a drained `leaving` has been handled. */
 export const LeavingAcknowledged = Type.Object({ kind: Type.Literal('leaving-acknowledged') })
 
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -8,7 +8,7 @@
   link.Hello, link.Identity, link.Heartbeat, link.ConfigurationRequest, link.ConfigurationSet,
   agent.Start, agent.Rejected, agent.Finished, agent.Grant, agent.Recall, agent.Returned, agent.Demand,
   agent.CancelTasks, agent.Retire, agent.Recover, agent.Resume, agent.Records, agent.Resumed, agent.RecordUpdate,
-  agent.Fenced, agent.Registered, agent.Leaving, agent.LeavingAcknowledged,
+  agent.Fenced, agent.Registered, agent.Departed, agent.Leaving, agent.LeavingAcknowledged,
   entry.Forward, entry.Inquire, entry.CancelJob, entry.Forwarded, entry.Handover, entry.HandoverAcknowledged
 ] as const
 
--- a/packages/types/src/outcome.ts
+++ b/packages/types/src/outcome.ts
@@ -36,6 +36,7 @@
   | 'owner-fenced'
   | 'owner-lost'
   | 'store-unavailable'
+  | 'not-submitted'
 
 export type UncertaintyReason =
   | 'owner-unreachable'
