--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -135,10 +135,10 @@
     for (const job of block.jobs.values()) bytes -= job.bytes
     if (own?.block === block) own = undefined
   }
-  /** Blocks retire in order of number, since the retired mark is the highest retired number. */
+  /** Blocks retire in order of number, which is the order of the map, since the retired mark is the highest number. */
   const retireOwner = (owner: Owner<Job>, now: number): boolean => {
     const before = owner.retired
-    for (const block of [...owner.blocks.values()].sort((a, b) => a.number - b.number)) {
+    for (const block of owner.blocks.values()) {
       if (!isOver(block, now)) break
       retireBlock(owner, block)
     }
