Let placement choose which agents hear of its demand

Reporting the whole demand to every agent would make each of them move slots for the same tasks. reports() gives the slots wanted per agent, decisions() the log lines, and a task end may be 'lost' when its agent has departed. Callers send reports() after next() returns undefined.

--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -31,7 +31,16 @@
   needed.accelerators + (used?.accelerators ?? 0) <= worker.resources.accelerators
 
 /** Starts jobs in order of priority class and then of arrival, on the worker with the most unused grants. */
-export const create = (_options: { random: random.Random }): placement.Placement => new Dispatcher()
+export const create = (_options: Options): placement.Placement => new Dispatcher()
+
+interface Options {
+  random: random.Random
+  /** Divides small team quotas among entries; the default is a single entry. */
+  position?: placement.Position
+}
+
+/** Shortest time in ms between two reports of demand. */
+const REPORT_INTERVAL_MS = 20
 
 class Dispatcher extends placement.Placement {
   private rules: types.Rules = { version: 0, taskTypes: [], priorityClasses: [], teams: [] }
@@ -40,6 +49,7 @@
   private readonly hosts = new Map<types.LinkId, Host>()
   private readonly jobs = new Map<types.JobId, Job>()
   private readonly queues: Set<Job>[] = []
+  private reportAt = 0
 
   override configure (rules: types.Rules): void {
     this.rules = rules
@@ -128,12 +138,24 @@
     return ids
   }
 
+  override reports (now: number): placement.Report[] {
+    const waiting = this.demand()
+    if (!waiting.some((count) => count > 0) || now < this.reportAt) return []
+    this.reportAt = now + REPORT_INTERVAL_MS
+    return [...this.hosts.keys()].map((link) => ({ link, waiting }))
+  }
+
+  override decisions (): placement.Decision[] {
+    return []
+  }
+
   override demand (): number[] {
     return Array.from(this.queues, (queue) => [...queue ?? []].reduce((sum, job) => sum + remaining(job), 0))
   }
 
   override deadline (): number | undefined {
-    const due = Math.min(...[...this.jobs.values()].map((job) => this.dueAt(job)))
+    const reportAt = this.demand().some((count) => count > 0) ? this.reportAt : Infinity
+    const due = Math.min(reportAt, ...[...this.jobs.values()].map((job) => this.dueAt(job)))
     return due === Infinity ? undefined : due
   }
 
--- a/packages/placement/src/interface.ts
+++ b/packages/placement/src/interface.ts
@@ -60,11 +60,35 @@
   abstract withdraw (job: types.JobId): void
   /** Jobs that waited longer than allowed with nothing started; they are withdrawn. */
   abstract overdue (now: number): types.JobId[]
+  /**
+   * Demand messages to send now, each with the slots wanted from that agent by rank. Call it after `next` has
+   * returned undefined.
+   */
+  abstract reports (now: number): Report[]
   /** Number of waiting tasks by rank of priority class. */
   abstract demand (): number[]
+  /** Decisions since the last call, one log line each: workers that leave or return to rotation, floods. */
+  abstract decisions (): Decision[]
   abstract deadline (): number | undefined
 }
 
+/** Position of this entry in the sorted list of configured entries, and the length of that list. */
+export interface Position {
+  index: number
+  count: number
+}
+
+/** `waiting` replaces what the agent knew; a grant of a slot reduces it by one, the most urgent rank first. */
+export interface Report {
+  link: types.LinkId
+  waiting: number[]
+}
+
+export interface Decision {
+  event: string
+  fields: Record<string, string | number | boolean>
+}
+
 export interface DispatchKey {
   link: types.LinkId
   job: types.JobId
@@ -72,7 +96,8 @@
 }
 
 export interface Ended extends DispatchKey {
-  end: messages.TaskEnd['kind']
+  /** `lost`: the end of the task will never be known, because its agent has departed. */
+  end: messages.TaskEnd['kind'] | 'lost'
   runMs: number
   /** The slot stays granted to this entry. */
   renewed: boolean
