--- a/packages/entry-core/src/index.ts
+++ b/packages/entry-core/src/index.ts
@@ -1,1 +1,2 @@
 export * from './interface.ts'
+export { create } from './core.ts'
--- a/packages/messages/src/entry.ts
+++ b/packages/messages/src/entry.ts
@@ -17,13 +17,19 @@
 })
 
 /** Entry to entry: a submission whose id names the receiver as owner. */
-export const Forward = Type.Object({ kind: Type.Literal('forward'), request: Count, submission: Submission })
+export const Forward = Type.Object({
+  kind: Type.Literal('forward'), request: Count, submission: Submission, waitMs: Duration
+})
 
 /** Entry to entry: a question for the state of a job that the receiver owns. */
-export const Inquire = Type.Object({ kind: Type.Literal('inquire'), request: Count, job: Name<types.JobId>() })
+export const Inquire = Type.Object({
+  kind: Type.Literal('inquire'), request: Count, job: Name<types.JobId>(), waitMs: Duration
+})
 
 /** Entry to entry: a caller's cancellation of a job that the receiver owns. */
-export const CancelJob = Type.Object({ kind: Type.Literal('cancel-job'), request: Count, job: Name<types.JobId>() })
+export const CancelJob = Type.Object({
+  kind: Type.Literal('cancel-job'), request: Count, job: Name<types.JobId>(), waitMs: Duration
+})
 
 /** Shape of an outcome; its variants come from the sender's own typed code. */
 const Outcome = Type.Unsafe<types.Outcome>(Type.Object({
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -28,7 +28,9 @@
  */
 export const Identity = Type.Object({
   kind: Type.Literal('identity'),
-  incarnations: Type.Array(Name<types.Incarnation>(), { maxItems: bounds.MAX_LIST })
+  incarnations: Type.Array(Name<types.Incarnation>(), { maxItems: bounds.MAX_LIST }),
+  /** The process is leaving and cannot be a successor. */
+  draining: Type.Boolean()
 })
 
 /** Sent once a second in each direction. */
