Add fair queues, floods, worker health, quotas and reports of demand

demand(link) gives the waiting counts of one agent's heartbeat: a whole queue reported to every agent made each of them move slots for the same tasks. waiting() gives the number of waiting tasks for the status.

--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -1,64 +1,82 @@
+import TinyQueue from 'tinyqueue'
 import type * as random from '@mustarddeck/random'
+import type * as messages from '@mustarddeck/messages'
 import type * as types from '@mustarddeck/types'
+import * as admissions from './admission.ts'
+import * as flood from './floods.ts'
+import * as healths from './health.ts'
+import * as workers from './hosts.ts'
 import * as placement from './interface.ts'
+import * as policies from './policy.ts'
+import * as queueing from './queues.ts'
+import * as teamQuotas from './quotas.ts'
+import * as reporting from './reports.ts'
 
-interface Job {
-  waiting: placement.WaitingJob
-  type: types.TaskType
-  rank: number
-  since: number
-  /** Indexes below this were dispatched. */
-  next: number
-  /** Dispatched indexes that wait again. */
-  again: number[]
-  started: boolean
+interface Running {
+  host: workers.Host
+  flow: queueing.Flow
+  resources: types.Resources
+  /** Run time in ms that the flow was charged at dispatch. */
+  chargedMs: number
 }
 
-interface Host {
-  worker: placement.Worker
-  granted: number
-  used: types.Resources
-  /** Tasks in progress, by job and index. */
-  tasks: Map<string, types.Resources>
-}
-
-const remaining = (job: Job): number => job.waiting.tasks - job.next + job.again.length
-const keyOf = (job: types.JobId, index: number): string => `${job}/${index}`
-
-const fits = (worker: placement.Worker, needed: types.Resources, used?: types.Resources): boolean =>
-  needed.cores + (used?.cores ?? 0) <= worker.resources.cores &&
-  needed.memoryMb + (used?.memoryMb ?? 0) <= worker.resources.memoryMb &&
-  needed.accelerators + (used?.accelerators ?? 0) <= worker.resources.accelerators
-
-/** Starts jobs in order of priority class and then of arrival, on the worker with the most unused grants. */
-export const create = (_options: Options): placement.Placement => new Dispatcher()
-
-interface Options {
+export interface Options {
   random: random.Random
   /** Divides small team quotas among entries; the default is a single entry. */
   position?: placement.Position
+  policy?: Partial<policies.Policy>
 }
 
-/** Shortest time in ms between two reports of demand. */
-const REPORT_INTERVAL_MS = 20
+/** Longest wait in ms of a job without an own limit, as a multiple of its class's target. */
+const MAX_WAIT_FACTOR = 10
+
+const keyOf = (job: types.JobId, index: number): string => `${job}/${index}`
+
+export const create = ({ random, position = { index: 0, count: 1 }, policy }: Options): placement.Placement =>
+  new Dispatcher(random, position, { ...policies.DEFAULT, ...policy })
 
 class Dispatcher extends placement.Placement {
+  private readonly health: healths.Health
+  private readonly hosts: workers.Hosts
+  private readonly queues: queueing.Queues
+  private readonly quotas: teamQuotas.Quotas
+  private readonly admission: admissions.Admission
+  private readonly floods: flood.Floods
+  private readonly reporter: reporting.Reports
+  private readonly jobs = new Map<types.JobId, queueing.Job>()
+  private readonly running = new Map<string, Running>()
+  /** Jobs by the time at which they are overdue; those that started or were withdrawn are skipped when found. */
+  private readonly due = new TinyQueue<queueing.Job>([], (left, right) => left.dueAt - right.dueAt)
   private rules: types.Rules = { version: 0, taskTypes: [], priorityClasses: [], teams: [] }
-  private types = new Map<types.TaskTypeName, types.TaskType>()
-  private ranks = new Map<types.PriorityClassName, number>()
-  private readonly hosts = new Map<types.LinkId, Host>()
-  private readonly jobs = new Map<types.JobId, Job>()
-  private readonly queues: Set<Job>[] = []
-  private reportAt = 0
+  private classes = new Map<number, types.PriorityClass>()
+  private teams = new Set<types.TeamName>()
+  private log: placement.Decision[] = []
+
+  constructor (
+    random: random.Random, private readonly position: placement.Position, private readonly policy: policies.Policy
+  ) {
+    super()
+    this.health = healths.create({ enabled: policy.health })
+    this.hosts = workers.create({ random, health: this.health, policy })
+    this.queues = queueing.create(policy)
+    this.quotas = teamQuotas.create(position)
+    const parts = { hosts: this.hosts, queues: this.queues, quotas: this.quotas, capacity: () => this.capacity() }
+    this.admission = admissions.create(parts)
+    this.floods = flood.create(this.queues)
+    this.reporter = reporting.create({ ...parts, policy, waiting: () => this.waitingByLevel() })
+  }
 
   override configure (rules: types.Rules): void {
     this.rules = rules
-    this.types = new Map(rules.taskTypes.map((type) => [type.name, type]))
-    this.ranks = new Map(rules.priorityClasses.map((priorityClass) => [priorityClass.name, priorityClass.rank]))
+    this.classes = new Map(rules.priorityClasses.map((priorityClass) => [priorityClass.rank, priorityClass]))
+    this.teams = new Set(rules.teams.map((team) => team.name))
+    this.queues.configure(rules)
+    this.quotas.configure(rules)
   }
 
-  override workerUp (link: types.LinkId, worker: placement.Worker): void {
-    this.hosts.set(link, { worker, granted: 0, used: { cores: 0, memoryMb: 0, accelerators: 0 }, tasks: new Map() })
+  override workerUp (link: types.LinkId, worker: placement.Worker, now: number): void {
+    this.hosts.add(link, worker)
+    this.admission.fleetChanged(now)
   }
 
   override workerRegistered (link: types.LinkId): void {
@@ -66,141 +84,224 @@
     if (host) host.worker = { ...host.worker, registered: true }
   }
 
-  override workerDown (link: types.LinkId): void {
-    this.hosts.delete(link)
+  override workerDown (link: types.LinkId, now: number): void {
+    this.hosts.remove(link)
+    this.admission.fleetChanged(now)
   }
 
   override granted (link: types.LinkId, slots: number): void {
     const host = this.hosts.get(link)
-    if (host) host.granted += slots
+    if (!host) return
+    host.wanted = Math.max(0, host.wanted - slots)
+    this.hosts.grant(host, slots)
   }
 
   override recalled (link: types.LinkId, slots: number): number {
     const host = this.hosts.get(link)
     if (!host) return 0
     const count = Math.min(slots, host.granted)
-    host.granted -= count
+    this.hosts.grant(host, -count)
     return count
   }
 
   override admit (waiting: placement.WaitingJob, now: number): placement.Admission {
-    const type = this.types.get(waiting.type)
+    const type = this.queues.find(waiting.type)
     if (!type) return { kind: 'refused', reason: 'unknown-task-type' }
-    if (!this.rules.teams.some((team) => team.name === waiting.team)) return { kind: 'refused', reason: 'unknown-team' }
-    const hosts = [...this.hosts.values()]
-    if (hosts.length > 0 && !hosts.some((host) => fits(host.worker, type.resources))) {
-      return { kind: 'refused', reason: 'never-runnable' }
-    }
-    const rank = this.ranks.get(type.priorityClass) ?? 0
-    const job: Job = { waiting, type, rank, since: now, next: 0, again: [], started: false }
+    if (!this.teams.has(waiting.team)) return { kind: 'refused', reason: 'unknown-team' }
+    this.queues.offer(type, waiting.tasks, this.capacity(), now)
+    this.checkFloods(now)
+    const targetWaitMs = this.classes.get(type.rank)?.targetWaitMs ?? Infinity
+    const refusal = this.admission.check(waiting, type, targetWaitMs, now)
+    if (refusal) return refusal
+    const dueAt = now + (waiting.maxWaitMs ?? targetWaitMs * MAX_WAIT_FACTOR)
+    const job = this.queues.add(waiting, type, dueAt, now)
     this.jobs.set(waiting.id, job)
-    this.queue(rank).add(job)
+    if (dueAt < Infinity) this.due.push(job)
     return { kind: 'admitted' }
   }
 
-  override next (): placement.Dispatch | undefined {
-    for (const queue of this.queues) {
-      for (const job of queue ?? []) {
-        const link = this.choose(job)
-        if (link !== undefined) return this.dispatch(job, link)
-      }
+  override next (now: number): placement.Dispatch | undefined {
+    this.quotas.observe(this.hosts.held() / Math.max(1, this.hosts.slots()), now)
+    if (this.hosts.unused() === 0 || this.queues.active.size === 0) return undefined
+    const lowest = this.queues.levels() - 1
+    for (let level = 0; level <= lowest; level++) {
+      if (this.hosts.unused() <= this.reservedFrom(level)) return undefined
+      const dispatch = this.nextOf(level, now)
+      if (dispatch) return dispatch
     }
     return undefined
   }
 
-  override finished (ended: placement.Ended): void {
-    this.release(ended)
-    const host = this.hosts.get(ended.link)
-    if (host && ended.renewed) host.granted++
+  override finished ({ link, job, index, end, runMs, renewed }: placement.Ended, now: number): void {
+    const task = this.release(job, index)
+    if (task && end !== 'lost') this.learn(task, end, runMs, now)
+    const host = this.hosts.get(link)
+    if (host && renewed) this.hosts.grant(host, 1)
+    const record = this.jobs.get(job)
+    if (task && record && --record.unfinished === 0) this.jobs.delete(job)
   }
 
-  override rejected (key: placement.DispatchKey): void {
-    this.release(key)
+  override rejected (key: placement.DispatchKey, reason: messages.RejectionReason, now: number): void {
+    const host = this.hosts.get(key.link)
+    const task = this.running.get(keyOf(key.job, key.index))
+    if (host && reason === 'no-resources') this.hosts.crowded(host, now)
+    if (host && reason === 'unregistered') host.worker = { ...host.worker, registered: false }
+    if (task && reason === 'backend-unreachable') {
+      this.note(task.host, { type: task.flow.type.rules.name, failed: true, runMs: 0 }, now)
+    }
     this.requeue(key.job, key.index)
   }
 
   override requeue (id: types.JobId, index: number): void {
+    const task = this.release(id, index)
+    if (task) this.queues.settle(task.flow, task.chargedMs, 0)
     const job = this.jobs.get(id)
-    if (!job) return
+    if (!job || job.withdrawn || job.again.includes(index)) return
     job.again.push(index)
-    this.queue(job.rank).add(job)
+    this.queues.enqueue(job, 1)
   }
 
   override withdraw (id: types.JobId): void {
     const job = this.jobs.get(id)
-    if (job) this.queue(job.rank).delete(job)
+    if (job) this.queues.withdraw(job)
     this.jobs.delete(id)
   }
 
   override overdue (now: number): types.JobId[] {
-    const ids = [...this.jobs.values()].filter((job) => this.dueAt(job) <= now).map((job) => job.waiting.id)
-    for (const id of ids) this.withdraw(id)
+    const ids: types.JobId[] = []
+    for (let job = this.firstDue(); job && job.dueAt <= now; job = this.firstDue()) {
+      ids.push(job.waiting.id)
+      this.withdraw(job.waiting.id)
+    }
     return ids
   }
 
   override reports (now: number): placement.Report[] {
-    const waiting = this.demand()
-    if (!waiting.some((count) => count > 0) || now < this.reportAt) return []
-    this.reportAt = now + REPORT_INTERVAL_MS
-    return [...this.hosts.keys()].map((link) => ({ link, waiting }))
+    return this.reporter.due(now)
   }
 
-  override decisions (): placement.Decision[] {
-    return []
+  override demand (link: types.LinkId): number[] {
+    const host = this.hosts.get(link)
+    return host ? this.reporter.of(host) : []
+  }
+
+  override waiting (): number {
+    let waiting = 0
+    for (const type of this.queues.active) waiting += type.waiting
+    return waiting
   }
 
-  override demand (): number[] {
-    return Array.from(this.queues, (queue) => [...queue ?? []].reduce((sum, job) => sum + remaining(job), 0))
+  override decisions (): placement.Decision[] {
+    const decisions = this.log
+    this.log = []
+    return decisions
   }
 
   override deadline (): number | undefined {
-    const reportAt = this.demand().some((count) => count > 0) ? this.reportAt : Infinity
-    const due = Math.min(reportAt, ...[...this.jobs.values()].map((job) => this.dueAt(job)))
-    return due === Infinity ? undefined : due
+    const at = Math.min(this.firstDue()?.dueAt ?? Infinity, this.reporter.deadline() ?? Infinity)
+    return at === Infinity ? undefined : at
   }
 
-  private dueAt (job: Job): number {
-    return job.started ? Infinity : job.since + (job.waiting.maxWaitMs ?? Infinity)
+  /** Slots that this entry can count on: those that it holds, or its even part of the fleet. */
+  private capacity (): number {
+    return Math.max(1, this.hosts.held(), this.hosts.slots() / this.position.count)
+  }
+
+  private firstDue (): queueing.Job | undefined {
+    for (let job = this.due.peek(); job; job = this.due.peek()) {
+      if (!job.started && !job.withdrawn) return job
+      this.due.pop()
+    }
+    return undefined
   }
 
-  private queue (rank: number): Set<Job> {
-    this.queues[rank] ??= new Set()
-    return this.queues[rank]
+  /** Unused slots that work of the level leaves to more urgent classes, less what those classes use already. */
+  private reservedFrom (level: number): number {
+    if (!this.policy.reserves || level === 0) return 0
+    const flooding = level === this.queues.levels() - 1
+    const used = new Map<number, number>()
+    for (const type of this.queues.all()) {
+      if (type.level < level) used.set(type.rank, (used.get(type.rank) ?? 0) + type.running)
+    }
+    let reserved = 0
+    for (const { rank, reserve } of this.rules.priorityClasses) {
+      if (rank >= level && !flooding) continue
+      reserved += Math.max(0, reserve * this.capacity() - (used.get(rank) ?? 0))
+    }
+    return Math.floor(reserved)
   }
 
-  private choose (job: Job): types.LinkId | undefined {
-    let best: [types.LinkId, Host] | undefined
-    for (const [link, host] of this.hosts) {
-      if (host.granted === 0 || (job.waiting.registeredOnly && !host.worker.registered)) continue
-      if (!fits(host.worker, job.type.resources, host.used)) continue
-      if (!best || host.granted > best[1].granted) best = [link, host]
+  private nextOf (level: number, now: number): placement.Dispatch | undefined {
+    const skip = new Set<unknown>()
+    const types = [...this.queues.active].filter((type) => type.level === level)
+    for (let type = queueing.least(types, skip); type; type = queueing.least(types, skip)) {
+      for (let flow = queueing.least(type.active, skip); flow; flow = queueing.least(type.active, skip)) {
+        const dispatch = this.quotas.mayStart(flow.team) ? this.start(flow, now) : undefined
+        if (dispatch) return dispatch
+        skip.add(flow)
+      }
+      skip.add(type)
     }
-    return best?.[0]
+    return undefined
   }
 
-  private dispatch (job: Job, link: types.LinkId): placement.Dispatch {
-    const host = this.hosts.get(link)!
-    const index = job.again.pop() ?? job.next++
-    const { resources, timeLimitMs } = job.type
+  private start (flow: queueing.Flow, now: number): placement.Dispatch | undefined {
+    const { rules, level, runTimes } = flow.type
+    const { resources, timeLimitMs } = rules
+    const trial = level >= this.queues.levels() - 2
+    const host = this.hosts.choose({ resources, registeredOnly: flow.registeredOnly, trial }, now)
+    const job = host && this.queues.head(flow)
+    if (!host || !job) return undefined
+    const index = this.queues.take(job)
     job.started = true
-    host.granted--
-    host.tasks.set(keyOf(job.waiting.id, index), resources)
-    this.account(host, resources, 1)
-    if (remaining(job) === 0) this.queue(job.rank).delete(job)
-    return { link, job: job.waiting.id, index, limitMs: timeLimitMs, resources, reason: 'first in class' }
+    this.hosts.take(host, resources)
+    flow.type.running++
+    this.quotas.started(flow.team)
+    const id = job.waiting.id
+    this.running.set(keyOf(id, index), { host, flow, resources, chargedMs: runTimes.mean() })
+    const reason = host.patient.out ? 'trial' : level === flow.type.rank ? 'in order' : 'above fair share'
+    return { link: host.link, job: id, index, limitMs: timeLimitMs, resources, reason }
   }
 
-  private release ({ link, job, index }: placement.DispatchKey): void {
-    const host = this.hosts.get(link)
-    const resources = host?.tasks.get(keyOf(job, index))
-    if (!host || !resources) return
-    host.tasks.delete(keyOf(job, index))
-    this.account(host, resources, -1)
+  private release (job: types.JobId, index: number): Running | undefined {
+    const key = keyOf(job, index)
+    const task = this.running.get(key)
+    if (!task) return undefined
+    this.running.delete(key)
+    task.flow.type.running--
+    this.quotas.ended(task.flow.team)
+    if (this.hosts.get(task.host.link) === task.host) this.hosts.release(task.host, task.resources)
+    return task
+  }
+
+  private learn ({ host, flow, chargedMs }: Running, end: messages.TaskEnd['kind'], runMs: number, now: number): void {
+    const { type } = flow
+    this.queues.settle(flow, chargedMs, runMs)
+    if (end === 'cancelled') return
+    this.note(host, { type: type.rules.name, failed: end === 'failed', runMs, runTimes: type.runTimes }, now)
+    // A failure at once says nothing of how long the type's tasks run.
+    if (end === 'finished') type.runTimes.add(runMs)
+  }
+
+  private note (host: workers.Host, result: healths.Result, now: number): void {
+    const event = this.health.record(host.patient, result, now)
+    if (event) this.log.push({ event, fields: { worker: host.worker.name, type: result.type } })
   }
 
-  private account ({ used }: Host, { cores, memoryMb, accelerators }: types.Resources, sign: 1 | -1): void {
-    used.cores += sign * cores
-    used.memoryMb += sign * memoryMb
-    used.accelerators += sign * accelerators
+  private checkFloods (now: number): void {
+    if (!this.policy.floodControl) return
+    for (const type of this.floods.check(this.capacity(), now)) {
+      const event = type.level === type.rank ? 'flood-end' : 'flood'
+      this.log.push({ event, fields: { type: type.rules.name, slots: Math.round(this.queues.load(type, now)) } })
+    }
+  }
+
+  /** Waiting tasks by level, without those that their team's quota holds back. */
+  private waitingByLevel (): number[] {
+    const counts = new Array<number>(this.queues.levels()).fill(0)
+    for (const type of this.queues.active) {
+      for (const flow of type.active) if (this.quotas.mayStart(flow.team)) counts[type.level]! += flow.waiting
+    }
+    return counts
   }
 }
--- a/packages/placement/src/interface.ts
+++ b/packages/placement/src/interface.ts
@@ -65,8 +65,10 @@
    * returned undefined.
    */
   abstract reports (now: number): Report[]
-  /** Number of waiting tasks by rank of priority class. */
-  abstract demand (): number[]
+  /** Slots wanted from one agent by rank of priority class, for the `waiting` of its next heartbeat. */
+  abstract demand (link: types.LinkId): number[]
+  /** Number of waiting tasks. */
+  abstract waiting (): number
   /** Decisions since the last call, one log line each: workers that leave or return to rotation, floods. */
   abstract decisions (): Decision[]
   abstract deadline (): number | undefined
--- a/packages/slots/src/division.ts
+++ b/packages/slots/src/division.ts
@@ -2,86 +2,115 @@
 import type * as slots from './interface.ts'
 
 interface Holder {
+  link: types.LinkId
   connected: boolean
-  /** Granted slots that no task uses. */
+  /** Granted slots that no task uses, as far as the agent knows. */
   unused: number
   running: number
-  waiting: number[]
+  /** Slots that the entry wants, by rank; grants reduce it. */
+  wanted: number[]
   /** Unused slots that were asked back and have not been returned. */
   recalled: number
 }
 
-/** Divides `slots` slots evenly among linked entries and moves them to where the most urgent work waits. */
+const held = (holder: Holder): number => holder.unused + holder.running
+const wants = (holder: Holder): number => holder.wanted.reduce((sum, count) => sum + count, 0)
+/** Rank of the most urgent wanted slot, or Infinity. */
+const urgency = (holder: Holder): number => {
+  const rank = holder.wanted.findIndex((count) => count > 0)
+  return rank < 0 ? Infinity : rank
+}
+/** Negative if `left` should get a slot before `right`: the more urgent first, then the one with fewer slots. */
+const compare = (left: Holder, right: Holder): number => {
+  const [first, second] = [urgency(left), urgency(right)]
+  return first === second ? held(left) - held(right) : first - second
+}
+const satisfy = (holder: Holder, count: number): void => {
+  for (let left = count; left > 0; left--) {
+    const rank = holder.wanted.findIndex((wanted) => wanted > 0)
+    if (rank < 0) return
+    holder.wanted[rank]!--
+  }
+}
+
+/**
+ * Divides the `slots` slots of one worker. Every slot is granted, since an entry that holds a grant can start a task
+ * at once and without a message. Wanted slots come from tasks that end and from unused grants of other entries.
+ */
 export const create = ({ slots: total }: { slots: number }): slots.Slots => {
   const holders = new Map<types.LinkId, Holder>()
+  let free = total
   let closed = false
 
-  const held = (holder: Holder): number => holder.unused + holder.running
-  const free = (): number => {
-    let sum = total
-    for (const holder of holders.values()) sum -= held(holder)
-    return sum
-  }
-  const linked = (): [types.LinkId, Holder][] => [...holders].filter(([, holder]) => holder.connected)
-  const wants = (holder: Holder): boolean =>
-    holder.waiting.reduce((sum, count) => sum + count, 0) > holder.unused
-  /** Rank of the most urgent waiting work, or Infinity. */
-  const urgency = (holder: Holder): number => {
-    const rank = holder.waiting.findIndex((count) => count > 0)
-    return rank < 0 || !wants(holder) ? Infinity : rank
-  }
-  /** Negative if `left` should get a slot before `right`. */
-  const compare = (left: Holder, right: Holder): number => {
-    const [first, second] = [urgency(left), urgency(right)]
-    return first === second ? held(left) - held(right) : first - second
-  }
+  const linked = (): Holder[] => [...holders.values()].filter((holder) => holder.connected)
+  const best = (candidates: Holder[]): Holder =>
+    candidates.reduce((first, holder) => compare(holder, first) < 0 ? holder : first)
 
   const divide = (): slots.Move[] => {
-    if (closed) return []
-    const grants = new Map<types.LinkId, number>()
     const entries = linked()
-    for (let left = entries.length > 0 ? free() : 0; left > 0; left--) {
-      const [link, holder] = entries.reduce((best, entry) => compare(entry[1], best[1]) < 0 ? entry : best)
+    if (closed || entries.length === 0) return []
+    const grants = new Map<Holder, number>()
+    for (; free > 0; free--) {
+      const holder = best(entries)
       holder.unused++
-      grants.set(link, (grants.get(link) ?? 0) + 1)
+      satisfy(holder, 1)
+      grants.set(holder, (grants.get(holder) ?? 0) + 1)
     }
-    const moves: slots.Move[] = [...grants].map(([link, count]) => ({ kind: 'grant', link, slots: count }))
+    const moves: slots.Move[] = [...grants].map(([{ link }, count]) => ({ kind: 'grant', link, slots: count }))
     return [...moves, ...recall(entries)]
   }
 
-  const recall = (entries: [types.LinkId, Holder][]): slots.Move[] => {
-    const waiting = entries.filter(([, holder]) => wants(holder))
-    if (waiting.length === 0) return []
-    const share = Math.floor(total / waiting.length)
-    let missing = waiting.reduce((sum, [, holder]) => sum + Math.max(0, share - held(holder)), 0) -
-      entries.reduce((sum, [, holder]) => sum + holder.recalled, 0)
+  /** Asks for as many unused slots as are wanted elsewhere and not on their way yet. */
+  const recall = (entries: Holder[]): slots.Move[] => {
+    let missing = 0
+    for (const holder of entries) missing += wants(holder) - holder.recalled
+    const donors = entries.filter((holder) => wants(holder) === 0 && holder.unused > holder.recalled)
+      .sort((left, right) => right.unused - left.unused)
     const moves: slots.Move[] = []
-    for (const [link, holder] of entries) {
-      const count = wants(holder) ? 0 : Math.min(missing, holder.unused - holder.recalled)
-      if (count <= 0) continue
-      holder.recalled += count
+    for (const donor of donors) {
+      if (missing <= 0) break
+      const count = Math.min(missing, donor.unused - donor.recalled)
+      donor.recalled += count
       missing -= count
-      moves.push({ kind: 'recall', link, slots: count })
+      moves.push({ kind: 'recall', link: donor.link, slots: count })
     }
     return moves
   }
 
+  /** Moves even shares of unused slots to a new entry, so that its first task needs no further message. */
+  const welcome = (newcomer: Holder): void => {
+    const share = Math.floor(total / linked().length)
+    newcomer.wanted = [Math.max(0, share - held(newcomer) - free)]
+  }
+
+  const keeps = (holder: Holder): boolean => {
+    const rivals = linked().filter((other) => other !== holder && wants(other) > 0)
+    if (rivals.length === 0) return true
+    const rival = best(rivals)
+    const [own, others] = [urgency(holder), urgency(rival)]
+    // With equal urgency a move must leave the two closer than before, or slots would go back and forth.
+    return own < others || (own === others && held(rival) + 1 >= held(holder))
+  }
+
   return {
     connected: (link) => {
-      holders.set(link, { connected: true, unused: 0, running: 0, waiting: [], recalled: 0 })
+      const holder = { link, connected: true, unused: 0, running: 0, wanted: [], recalled: 0 }
+      holders.set(link, holder)
+      welcome(holder)
       return divide()
     },
     disconnected: (link) => {
       const holder = holders.get(link)
       if (!holder) return []
-      Object.assign(holder, { connected: false, unused: 0, recalled: 0 })
+      free += holder.unused
+      Object.assign(holder, { connected: false, unused: 0, recalled: 0, wanted: [] })
       if (holder.running === 0) holders.delete(link)
       return divide()
     },
     demand: (link, waiting) => {
       const holder = holders.get(link)
-      if (!holder) return []
-      holder.waiting = waiting
+      if (!holder?.connected) return []
+      holder.wanted = [...waiting]
       return divide()
     },
     start: (link) => {
@@ -94,27 +123,27 @@
     end: (link) => {
       const holder = holders.get(link)
       if (!holder || holder.running === 0) return { renewed: false, moves: [] }
+      const renewed = !closed && holder.connected && keeps(holder)
       holder.running--
-      if (!holder.connected && holder.running === 0) holders.delete(link)
-      if (closed) return { renewed: false, moves: [] }
-      const renewed = holder.connected &&
-        !linked().some(([, other]) => other !== holder && compare(other, holder) < 0 && wants(other))
       if (renewed) holder.unused++
-      return { renewed, moves: renewed ? [] : divide() }
+      else free++
+      if (!holder.connected && holder.running === 0) holders.delete(link)
+      return { renewed, moves: divide() }
     },
     returned: (link, count) => {
       const holder = holders.get(link)
       if (!holder) return []
-      const slots = Math.min(count, holder.unused)
-      holder.unused -= slots
+      const back = Math.min(count, holder.unused)
+      holder.unused -= back
+      free += back
       holder.recalled = 0
       return divide()
     },
     close: () => {
       closed = true
-      for (const holder of holders.values()) Object.assign(holder, { unused: 0, recalled: 0 })
+      for (const holder of holders.values()) Object.assign(holder, { unused: 0, recalled: 0, wanted: [] })
     },
-    timer: () => divide(),
+    timer: () => [],
     deadline: () => undefined
   }
 }
