Add authenticated links over ws and msgpackr

Entries and agents need links before a whole path can be run. Heartbeats, the 3 s timeout, redialing, replacement by a new link of the same incarnation and the size limits are in place.

Two processes that dial each other keep the link that the smaller incarnation dialed; without this rule each new link would replace the other for ever.

--- /dev/null
+++ b/packages/link/src/links.ts
@@ -0,0 +1,215 @@
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import type * as messages from '@mustarddeck/messages'
+import type * as random from '@mustarddeck/random'
+import type * as types from '@mustarddeck/types'
+import { once } from 'node:events'
+import type * as net from 'node:net'
+import * as ws from 'ws'
+import * as backoff from './backoff.ts'
+import type * as link from './interface.ts'
+import * as sessions from './session.ts'
+
+export interface Settings {
+  /** Shared key of all processes of a deployment. It never crosses the wire. */
+  key: string
+  /** Content of the next `hello`. Its incarnation identifies this process. */
+  hello (): messages.Hello
+  /** Content of the next heartbeat on a link; undefined where the caller sends heartbeats by itself. */
+  heartbeat (link: types.LinkId): messages.Heartbeat | undefined
+  handler: link.Handler
+  log: log.Log
+  timers: clock.Timers
+  random: random.Random
+  limits?: Partial<sessions.Limits>
+}
+
+const DEFAULT_LIMITS: sessions.Limits = {
+  maxFrameBytes: 16 * 2 ** 20,
+  maxBufferedBytes: 64 * 2 ** 20,
+  heartbeatMs: 1000,
+  timeoutMs: 3000
+}
+
+/** Connections that may be in their handshake at once; further ones are closed and dial again. */
+const MAX_HANDSHAKES = 1024
+/** Time for the closing handshake with each peer on `stop`. */
+const CLOSE_TIMEOUT_MS = 1000
+/** Refusal of a link to the process itself; its address is not dialed again. */
+const OWN_ADDRESS = 'own address'
+
+interface Dial {
+  address: string
+  failures: number
+  upAt: number | undefined
+  session: sessions.Session | undefined
+  /** The peer has dialed this process; no attempt is made until one of the links ends. */
+  dormant: boolean
+  cancel: clock.Cancellation
+}
+
+const format = (address?: string, family?: string, port?: number): string =>
+  family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
+
+export const create = (settings: Settings): link.Links => {
+  const { handler, log, timers } = settings
+  const limits = { ...DEFAULT_LIMITS, ...settings.limits }
+  const context: sessions.Context = {
+    key: settings.key,
+    limits,
+    timers,
+    sent: { frames: 0, messages: new Map(), bytes: 0 },
+    received: { frames: 0, messages: new Map(), bytes: 0 },
+    hello: settings.hello,
+    heartbeat: settings.heartbeat
+  }
+  const socketOptions = {
+    maxPayload: limits.maxFrameBytes, perMessageDeflate: false, closeTimeout: CLOSE_TIMEOUT_MS
+  }
+  const up = new Map<types.LinkId, sessions.Session>()
+  const byIncarnation = new Map<types.Incarnation, sessions.Session>()
+  const open = new Map<sessions.Session, ws.WebSocket>()
+  const dials = new Map<string, Dial>()
+  let server: ws.WebSocketServer | undefined
+  let stopping = false
+  let nextId = 1
+
+  /**
+   * Two processes that dial each other at the same time get two links. Both sides keep the one that was dialed by the
+   * smaller incarnation, unless that link has gone quiet.
+   */
+  const keepsOld = (old: sessions.Session, fresh: sessions.Session, hello: messages.Hello): boolean => {
+    if (old.side === fresh.side) return false
+    const own = settings.hello().incarnation
+    const dialedBySmaller = (old.side === 'dialer') === (own < hello.incarnation)
+    return dialedBySmaller && timers.monotonic() - old.heardAt() < 2 * limits.heartbeatMs
+  }
+
+  const observer: sessions.Observer = {
+    admit: (session, hello) => {
+      if (stopping) return 'stopping'
+      if (hello.incarnation === settings.hello().incarnation) return OWN_ADDRESS
+      const old = byIncarnation.get(hello.incarnation)
+      if (old && keepsOld(old, session, hello)) return 'redundant link'
+      old?.replace('replaced by a new link')
+      return undefined
+    },
+    up: (session, hello) => {
+      up.set(session.id, session)
+      byIncarnation.set(hello.incarnation, session)
+      const dial = dials.get(session.address)
+      if (dial?.session === session) dial.upAt = timers.monotonic()
+      log.info('link-up', {
+        link: session.id,
+        side: session.side,
+        address: session.address,
+        peer: hello.name,
+        role: hello.role,
+        incarnation: hello.incarnation
+      })
+      handler.up(session.id, hello)
+    },
+    message: (session, message) => handler.message(session.id, message),
+    ended: (session, ending) => {
+      open.delete(session)
+      report(session, ending)
+      if (ending.wasUp) {
+        const incarnation = session.hello()!.incarnation
+        up.delete(session.id)
+        if (byIncarnation.get(incarnation) === session) byIncarnation.delete(incarnation)
+        handler.down(session.id, ending.by === 'peer' ? `by peer: ${ending.reason}` : ending.reason)
+        for (const dial of dials.values()) if (dial.dormant) schedule(dial)
+      }
+      const dial = dials.get(session.address)
+      if (dial?.session === session) redial(dial, ending)
+    }
+  }
+
+  const report = (session: sessions.Session, { wasUp, by, reason, fault }: sessions.Ending): void => {
+    const fields = {
+      link: session.id, side: session.side, address: session.address, peer: session.hello()?.name, by, reason
+    }
+    const failures = dials.get(session.address)?.failures ?? 0
+    // A peer that stays away is reported once and then at the level of debugging.
+    if (wasUp) log[fault ? 'warn' : 'info']('link-down', fields)
+    else log[fault || failures === 0 ? 'warn' : 'debug']('link-failed', fields)
+  }
+
+  const redial = (dial: Dial, ending: sessions.Ending): void => {
+    const lasted = dial.upAt === undefined ? 0 : timers.monotonic() - dial.upAt
+    dial.failures = lasted >= limits.heartbeatMs ? 0 : dial.failures + 1
+    dial.session = undefined
+    dial.upAt = undefined
+    if (dials.get(dial.address) !== dial) return
+    if (ending.reason === OWN_ADDRESS) return
+    schedule(dial)
+  }
+  const schedule = (dial: Dial): void => {
+    if (stopping) return
+    dial.dormant = false
+    dial.cancel()
+    dial.cancel = timers.after(backoff.delay(dial.failures, settings.random), () => connect(dial))
+  }
+  const isLinked = (address: string): boolean => {
+    for (const session of up.values()) if (session.hello()?.address === address) return true
+    return false
+  }
+  const connect = (dial: Dial): void => {
+    dial.dormant = isLinked(dial.address)
+    if (dial.dormant) return
+    const socket = new ws.WebSocket(`ws://${dial.address}`, socketOptions)
+    dial.session = add('dialer', dial.address, socket)
+  }
+  const add = (side: sessions.Side, address: string, socket: ws.WebSocket): sessions.Session => {
+    const session = sessions.create(nextId++ as types.LinkId, side, address, socket, context, observer)
+    open.set(session, socket)
+    return session
+  }
+
+  const listen = async (host: string, port: number): Promise<string> => {
+    server = new ws.WebSocketServer({ host, port, ...socketOptions })
+    await once(server, 'listening')
+    server.on('error', (error) => log.error('link-server-failed', { reason: error.message }))
+    server.on('connection', (socket, request) => {
+      if (stopping || open.size - up.size >= MAX_HANDSHAKES) return socket.terminate()
+      const { remoteAddress, remoteFamily, remotePort } = request.socket
+      add('acceptor', format(remoteAddress, remoteFamily, remotePort), socket)
+    })
+    const { address, family, port: chosen } = server.address() as net.AddressInfo
+    return format(address, family, chosen)
+  }
+
+  const stop = async (): Promise<void> => {
+    stopping = true
+    for (const dial of dials.values()) dial.cancel()
+    const closed = [...open].map(async ([session, socket]) => {
+      if (socket.readyState === ws.WebSocket.CLOSED) return
+      const end = once(socket, 'close')
+      session.close('stopping')
+      await end
+    })
+    await Promise.all(closed)
+    const listening = server
+    if (listening) await new Promise((resolve) => listening.close(resolve))
+  }
+
+  return {
+    listen,
+    dial: (address) => {
+      if (dials.has(address) || stopping) return
+      const dial: Dial = { address, failures: 0, upAt: undefined, session: undefined, dormant: false, cancel: () => {} }
+      dials.set(address, dial)
+      connect(dial)
+    },
+    forget: (address) => {
+      const dial = dials.get(address)
+      dials.delete(address)
+      dial?.cancel()
+      dial?.session?.close('address forgotten')
+    },
+    send: (id, message) => up.get(id)?.send(message),
+    close: (id, reason) => up.get(id)?.close(reason),
+    counts: () => ({ links: up.size, sent: context.sent, received: context.received }),
+    stop
+  }
+}
