--- a/packages/entry-core/src/core.ts
+++ b/packages/entry-core/src/core.ts
@@ -236,11 +236,12 @@
       if (agents.absent().length > 0 || draining) times.push(checkAt)
       return Math.min(...times.map((time) => time ?? Infinity))
     },
+    demand: (link) => placement.demand(link),
     status: () => ({
       incarnation: ledger.incarnation(),
       draining,
       jobs: owned.open(),
-      waitingTasks: placement.demand().reduce((sum, count) => sum + count, 0),
+      waitingTasks: placement.waiting(),
       runningTasks: owned.inProgress(),
       agents: agents.size(),
       entries: entries.size(),
--- a/packages/entry-core/src/interface.ts
+++ b/packages/entry-core/src/interface.ts
@@ -50,6 +50,8 @@
   handle (input: Input, now: number): Effect[]
   /** Next time at which a `timer` input is wanted. */
   deadline (): number | undefined
+  /** Slots wanted from one agent by rank of priority class, for `waiting` of the heartbeat to it. */
+  demand (link: types.LinkId): number[]
   status (): Status
 }
 
--- a/packages/entry-core/src/owned-jobs.ts
+++ b/packages/entry-core/src/owned-jobs.ts
@@ -183,7 +183,7 @@
       for (const { link, waiting: wanted } of placement.reports(context.now())) {
         context.send(link, { kind: 'demand', waiting: wanted })
       }
-      for (const { event, fields } of placement.decisions(context.now())) context.log(event, fields)
+      for (const { event, fields } of placement.decisions()) context.log(event, fields)
     },
     finished: (agent, message) => {
       const found = sentState(agent, message.job, message.index)
