--- a/packages/platform-stand-in/src/faults.ts
+++ b/packages/platform-stand-in/src/faults.ts
@@ -4,7 +4,8 @@
 import * as value from '@sinclair/typebox/value'
 
 const Type = typebox.Type
-const Probability = Type.Number({ minimum: 0, maximum: 1 })
+const Share = Type.Number({ minimum: 0, maximum: 1 })
+const Duration = Type.Number({ minimum: 0 })
 
 /** Where the faults in force are read (GET) and changed (PATCH with some of the fields). Not part of the platform. */
 export const FAULTS_PATH = '/faults'
@@ -12,9 +13,12 @@
 /** The fields of `platform.Faults`, each optional. */
 export const Faults = Type.Partial(Type.Object({
   down: Type.Boolean(),
-  delayMs: Type.Number({ minimum: 0 }),
-  lostAnswers: Probability,
-  lostRequests: Probability,
+  unavailable: Share,
+  readMs: Duration,
+  writeMs: Duration,
+  lostAnswers: Share,
+  lostRequests: Share,
+  staleReads: Share,
   staleness: Type.Integer({ minimum: 0, maximum: platform.MAX_STALENESS })
 }), { additionalProperties: false })
 
--- a/packages/platform/src/memory.ts
+++ b/packages/platform/src/memory.ts
@@ -3,22 +3,28 @@
 import type * as clock from '@mustarddeck/clock'
 import * as table from './table.ts'
 
-/** Faults of the in-memory store; any of them may be changed at any time. */
+/** Faults of the in-memory store; any of them may be changed at any time. Shares are from 0 to 1. */
 export interface Faults {
   /** Every request is refused as `unavailable`, and nothing is written. */
   down: boolean
-  /** Longest delay in ms before a request takes effect, and again before its answer; the shortest is half of it. */
-  delayMs: number
-  /** Probability, 0 to 1, that a write takes effect and is answered as `uncertain`. */
+  /** Share of requests that are refused in the same way. */
+  unavailable: number
+  /** Longest time of a read; the shortest is half of it. It takes effect half-way through. */
+  readMs: number
+  /** The same for a write. */
+  writeMs: number
+  /** Share of writes that take effect and are answered as `uncertain`. */
   lostAnswers: number
-  /** Probability, 0 to 1, that a write has no effect and is answered as `uncertain`. */
+  /** Share of writes that have no effect and are answered as `uncertain`. */
   lostRequests: number
-  /** Reads show each row as it was up to this many transactions ago. */
+  /** Share of rows and objects that a read shows as they were up to `staleness` transactions ago. */
+  staleReads: number
   staleness: number
 }
 
-export const NO_FAULTS: Readonly<Faults> =
-  { down: false, delayMs: 0, lostAnswers: 0, lostRequests: 0, staleness: 0 }
+export const NO_FAULTS: Readonly<Faults> = {
+  down: false, unavailable: 0, readMs: 0, writeMs: 0, lostAnswers: 0, lostRequests: 0, staleReads: 0, staleness: 10
+}
 
 /** Transactions after which an overwritten value can no longer be seen by a stale read. */
 export const MAX_STALENESS = 1000
@@ -97,26 +103,33 @@
   const generator = random.create(seed)
   const current: Faults = { ...NO_FAULTS, ...faults }
 
-  const lag = (): number => current.staleness > 0 ? generator.integer(0, Math.min(current.staleness, MAX_STALENESS)) : 0
-  const delay = async (): Promise<void> => {
-    const delayMs = current.delayMs * (0.5 + generator.float() / 2)
+  const happens = (share: number): boolean => generator.float() < share
+  const lag = (): number => {
+    if (!happens(current.staleReads)) return 0
+    return generator.integer(Math.min(1, current.staleness), Math.min(current.staleness, MAX_STALENESS))
+  }
+  const delay = async (longestMs: number): Promise<void> => {
+    const delayMs = longestMs / 2 * (0.5 + generator.float() / 2)
     if (delayMs > 0) await new Promise<void>((resolve) => timers.after(delayMs, resolve))
   }
   const attempt = async <Value>(
-    action: () => errors.Result<Value, table.StoreError>
+    longestMs: number, action: () => errors.Result<Value, table.StoreError>
   ): Promise<errors.Result<Value, table.StoreError>> => {
-    if (current.down) return errors.error({ kind: 'unavailable', message: 'the store is down' })
-    await delay()
+    if (current.down || happens(current.unavailable)) {
+      return errors.error({ kind: 'unavailable', message: 'the store is down' })
+    }
+    await delay(longestMs)
     const result = action()
-    await delay()
+    await delay(longestMs)
     return result
   }
-  const read = <Value>(action: () => Value) => attempt<Value>(() => errors.ok(action()))
-  const write = <Value>(action: () => errors.Result<Value, table.StoreError>) => attempt<Value>(() => {
-    if (generator.float() < current.lostRequests) return uncertain()
-    const result = action()
-    return generator.float() < current.lostAnswers ? uncertain() : result
-  })
+  const read = <Value>(action: () => Value) => attempt<Value>(current.readMs, () => errors.ok(action()))
+  const write = <Value>(action: () => errors.Result<Value, table.StoreError>) =>
+    attempt<Value>(current.writeMs, () => {
+      if (happens(current.lostRequests)) return uncertain()
+      const result = action()
+      return happens(current.lostAnswers) ? uncertain() : result
+    })
 
   class MemoryTable extends table.Table {
     read = (key: string) => read(() => state.read(key, lag()))
