Add operators' declarations

Operators' mistakes should be found before anything is published, all at once. The check covers syntax with line and column, fields against one schema per kind, references, circles of extends, duplicates, and contradictions between objects that are sound by themselves. Contradictions that need every object of a kind are left out while a file cannot be read. Both deployments have a sample set, and the reference page is generated from the schemas.

--- /dev/null
+++ b/packages/declarations/src/declarations.test.ts
@@ -0,0 +1,174 @@
+import * as fs from 'node:fs'
+import { expect } from 'chai'
+import * as declarations from './index.ts'
+import * as reference from './reference.ts'
+
+const ROOT = new URL('../../../', import.meta.url)
+
+const SOUND = `
+[failure-domain.north]
+region = "khangai"
+workers = 2
+slotsPerWorker = 8
+coresPerWorker = 16
+memoryMbPerWorker = 32000
+[drain-policy.quick]
+timeLimitMs = 5000
+[service.depot]
+drainPolicy = "quick"
+failureDomains = ["north"]
+[priority-class.counter]
+rank = 0
+targetWaitMs = 200
+reserve = 0.1
+[priority-class.overnight]
+rank = 1
+targetWaitMs = 60000
+[task-type.weigh-in]
+service = "depot"
+priorityClass = "counter"
+timeLimitMs = 2000
+[team.depots]
+maxRunning = 16
+`
+
+/** Problems of the sound set with `from` replaced by `to` in the text, without their file. */
+const problemsOf = (from: string, to: string): string[] => {
+  expect(SOUND).to.include(from)
+  const result = declarations.parse([{ file: 'a.toml', text: SOUND.replace(from, to) }])
+  return result.kind === 'ok' ? [] : result.error.map(({ file, ...problem }) => declarations.formatProblem(problem))
+}
+const parse = (text: string): declarations.Declarations => {
+  const result = declarations.parse([{ file: 'a.toml', text }])
+  if (result.kind === 'error') throw new Error(result.error.map(declarations.formatProblem).join('\n'))
+  return result.value
+}
+
+describe('declarations', () => {
+  it('accepts the sets of both deployments, with their sizes', async () => {
+    for (const name of ['corkbook', 'benchdesk']) {
+      const result = await declarations.load(new URL(`examples/${name}`, ROOT).pathname)
+      if (result.kind === 'error') throw new Error(result.error.map(declarations.formatProblem).join('\n'))
+      const domains = declarations.resolved(result.value, 'failure-domain').map(({ fields }) => fields)
+      expect(domains.reduce((sum, { workers }) => sum + workers, 0)).to.equal(11)
+      expect(domains.every((one) => one.slotsPerWorker === 8 && one.workersPerRack === 3)).to.equal(true)
+    }
+  })
+
+  const cases: [what: string, from: string, to: string, problems: string[]][] = [
+    ['an unknown field', 'timeLimitMs = 2000', 'timeLimitMs = 2000\ntimeLimit = 1',
+      ['task-type/weigh-in timeLimit: unknown field; did you mean timeLimitMs?']],
+    ['a missing field', 'timeLimitMs = 2000', '',
+      ['task-type/weigh-in timeLimitMs: missing field; expected integer, at least 1 and at most 600000']],
+    ['a wrong type', 'timeLimitMs = 2000', 'timeLimitMs = "2 s"',
+      ['task-type/weigh-in timeLimitMs: "2 s" given; expected integer, at least 1 and at most 600000']],
+    ['a value out of range', 'reserve = 0.1', 'reserve = 1.5',
+      ['priority-class/counter reserve: 1.5 given; expected number, at least 0 and at most 1']],
+    ['an unknown kind', '[team.depots]', '[teem.depots]', ['teem: unknown kind of object; did you mean team?']],
+    ['an object without a name', '[team.depots]', '[team]', ['team/maxRunning: expected a table [team.maxRunning]']],
+    ['a name with other characters', '[team.depots]', '[team."De pots"]',
+      ['team/De pots: a name consists of up to 63 lower-case letters, digits and hyphens']],
+    ['a dangling reference', 'service = "depot"', 'service = "depott"',
+      ['task-type/weigh-in service: no service has the name "depott"; did you mean depot?']],
+    ['a dangling reference in a list', '["north"]', '["north", "south"]',
+      ['service/depot failureDomains: no failure-domain has the name "south"; did you mean north?']],
+    ['a circle', '[team.depots]', '[team.a]\nextends = "b"\n[team.b]\nextends = "c"\n[team.c]\nextends = "b"\n[team.depots]',
+      ['team/b extends: circular reference: b extends c extends b']],
+    ['a time limit above that of the drain policy', 'timeLimitMs = 2000', 'timeLimitMs = 6000',
+      ['task-type/weigh-in timeLimitMs: 6000 ms is above the 5000 ms of drain-policy/quick of service/depot']],
+    ['a quota over the fleet', 'maxRunning = 16', 'maxRunning = 17',
+      ['team/depots maxRunning: 17 is above the 16 slots of the fleet']],
+    ['a class with no reserve', 'reserve = 0.1', '',
+      ['priority-class/counter reserve: a class more urgent than priority-class/overnight needs a reserve above 0']],
+    ['two classes of one rank', 'rank = 1', 'rank = 0\nreserve = 0.1',
+      ['priority-class/counter rank: 0 is also the rank of priority-class/overnight']],
+    ['reserves without a rest', 'reserve = 0.1', 'reserve = 1', ['priority-class/counter reserve: ' +
+      'the reserves of all classes add up to 1 and leave no slot for other work']],
+    ['a type that can never run', 'timeLimitMs = 2000', 'timeLimitMs = 2000\nmemoryMb = 32001',
+      ['task-type/weigh-in memoryMb: more than any worker of service/depot has']],
+    ['fewer connections than slots', 'drainPolicy = "quick"', 'drainPolicy = "quick"\nconnectionsPerWorker = 7',
+      ['service/depot connectionsPerWorker: 7 is below the 8 slots per worker of failure-domain/north']]
+  ]
+  for (const [what, from, to, problems] of cases) {
+    it(`reports ${what}`, () => expect(problemsOf(from, to)).to.deep.equal(problems))
+  }
+
+  it('reports all problems of all files at once, with line and column for syntax', () => {
+    const result = declarations.parse([
+      { file: 'a.toml', text: SOUND.replace('timeLimitMs = 2000', 'timeLimitMs = 6000') },
+      { file: 'b.toml', text: '[team.depots]\nweight = 0\n[team.other]\nweight = 0' },
+      { file: 'c.toml', text: '[team.x]\nweight =\n' }
+    ])
+    expect(result.kind === 'error' && result.error.map(declarations.formatProblem)).to.deep.equal([
+      'b.toml: team/depots: duplicate; also declared in a.toml',
+      'c.toml:2:9: syntax error: invalid value',
+      'b.toml: team/other weight: 0 given; expected number, above 0 and at most 1000',
+      'a.toml: task-type/weigh-in timeLimitMs: 6000 ms is above the 5000 ms of drain-policy/quick of service/depot'
+    ])
+  })
+
+  it('takes inherited fields and defaults into the rules', () => {
+    const set = parse(SOUND + '[task-type.payout]\nextends = "weigh-in"\ndescription = "x"\nmemoryMb = 7\n')
+    const rules = declarations.toRules(set, 9)
+    expect(rules.version).to.equal(9)
+    expect(rules.taskTypes[0]).to.deep.equal({
+      name: 'payout',
+      service: 'depot',
+      priorityClass: 'counter',
+      timeLimitMs: 2000,
+      resources: { cores: 1, memoryMb: 7, accelerators: 0 },
+      weight: 1
+    })
+    expect(rules.priorityClasses.map(({ name }) => name)).to.deep.equal(['counter', 'overnight'])
+    expect(rules.teams).to.deep.equal([{ name: 'depots', weight: 1, maxRunning: 16 }])
+  })
+
+  it('survives publication, whatever the order of files and fields', () => {
+    const set = parse(SOUND)
+    const content = declarations.serialize(set)
+    const read = declarations.deserialize(content)
+    expect(read.kind === 'ok' && declarations.difference(set, read.value)).to.deep.equal([])
+    const reversed = new Map([...set].reverse().map(([key, { fields, ...rest }]) =>
+      [key, { ...rest, fields: Object.fromEntries(Object.entries(fields).reverse()) }]))
+    expect(declarations.digest(declarations.serialize(reversed))).to.equal(declarations.digest(content))
+  })
+
+  // A process must keep its version rather than take one that its code cannot interpret.
+  it('refuses published content that is not a sound set', () => {
+    const contents = ['', 'null', '{}', '{"format":2,"objects":{}}', '{"format":1,"objects":{}}',
+      '{"format":1,"objects":{"team":{}}}', '{"format":1,"objects":{"team/a":{"wait":1}}}']
+    for (const content of contents) expect(declarations.deserialize(content).kind, content).to.equal('error')
+  })
+
+  it('is described by an up-to-date reference page', () => {
+    const page = fs.readFileSync(new URL('docs/configuration-reference.md', ROOT), 'utf8')
+    expect(page, 'run: npm run reference -w @mustarddeck/declarations').to.equal(reference.render())
+  })
+})
+
+describe('difference and merge', () => {
+  const base = parse(SOUND)
+  const changed = (from: string, to: string) => parse(SOUND.replace(from, to))
+
+  it('lists changed fields by object', () => {
+    const after = changed('maxRunning = 16', 'maxRunning = 8\n[team.new]')
+    expect(declarations.difference(base, after).flatMap(declarations.formatChange))
+      .to.deep.equal(['~ team/depots', '    maxRunning: 16 -> 8', '+ team/new'])
+    expect(declarations.difference(after, base).flatMap(declarations.formatChange))
+      .to.deep.equal(['~ team/depots', '    maxRunning: 8 -> 16', '- team/new'])
+  })
+
+  it('merges changes to different objects, and equal changes to one', () => {
+    const ours = changed('maxRunning = 16', 'maxRunning = 8\n[team.new]')
+    const theirs = changed('timeLimitMs = 2000', 'timeLimitMs = 1000\n[team.new]')
+    const merged = declarations.merge(base, ours, theirs)
+    expect(merged.kind === 'ok' && declarations.difference(base, merged.value).map(({ kind, object }) => [kind, object]))
+      .to.deep.equal([['changed', 'task-type/weigh-in'], ['changed', 'team/depots'], ['added', 'team/new']])
+  })
+
+  it('names objects that both sides changed in different ways, removal included', () => {
+    const ours = changed('maxRunning = 16', 'maxRunning = 8\n[team.new]\nweight = 2')
+    const theirs = changed('[team.depots]\nmaxRunning = 16', '[team.new]')
+    expect(declarations.merge(base, ours, theirs)).to.deep.equal({ kind: 'error', error: ['team/depots', 'team/new'] })
+  })
+})
