--- /dev/null
+++ b/packages/entry/src/http/body.ts
@@ -0,0 +1,39 @@
+import * as bodyparser from '@koa/bodyparser'
+import type * as koa from 'koa'
+import * as invalid from './invalid.ts'
+import * as reply from './reply.ts'
+
+interface ParseFailure extends Error {
+  status?: number
+  type?: string
+}
+
+const explain = (failure: ParseFailure, maxBodyBytes: number): invalid.Invalid => {
+  switch (failure.type) {
+    case 'entity.too.large':
+      return invalid.create('body-too-large', `the body is larger than ${maxBodyBytes} bytes`)
+    case 'request.aborted': case 'request.size.invalid':
+      return invalid.create('malformed-request', 'the body ended before its announced length')
+  }
+  if (failure.status === 415) return invalid.create('unsupported-media-type', failure.message)
+  return invalid.create('malformed-json', `the body is not valid JSON: ${invalid.quote(failure.message)}`)
+}
+
+/** Parses JSON bodies of `POST` requests; a body of another media type is refused. */
+export const parser = (maxBodyBytes: number): koa.Middleware => {
+  const parse = bodyparser.bodyParser({ enableTypes: ['json'], jsonLimit: maxBodyBytes, jsonStrict: true })
+  return async (context, next) => {
+    if (context.method !== 'POST') return next()
+    if (!context.is('application/json')) {
+      const refusal = invalid.create('unsupported-media-type', 'the body must have content-type application/json')
+      return reply.refuse(context, refusal)
+    }
+    try {
+      await parse(context, async () => {})
+    } catch (failure) {
+      context.set('Connection', 'close')
+      return reply.refuse(context, explain(failure as ParseFailure, maxBodyBytes))
+    }
+    return next()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/invalid.ts
@@ -0,0 +1,62 @@
+/** Why a request is refused before the decision code sees it. */
+export type InvalidReason =
+  | 'malformed-request'
+  | 'malformed-json'
+  | 'unsupported-media-type'
+  | 'body-too-large'
+  | 'headers-too-large'
+  | 'request-timeout'
+  | 'wrong-type'
+  | 'unknown-field'
+  | 'too-many-tasks'
+  | 'duplicate-task-name'
+  | 'bad-id'
+  | 'bad-payload'
+  | 'bad-query'
+  | 'bad-idempotency-key'
+  | 'unauthorized'
+  | 'not-found'
+  | 'method-not-allowed'
+  | 'unknown-target'
+
+/** `path` is a JSON pointer into the body. */
+export interface Problem {
+  path: string
+  message: string
+}
+
+/** A refusal of a request that is wrong in itself; nothing was run. */
+export interface Invalid {
+  kind: 'invalid'
+  reason: InvalidReason
+  message: string
+  problems?: Problem[]
+}
+
+/** Text of a value in an error message is cut here, so that no large input is echoed. */
+const MAX_QUOTE_LENGTH = 80
+
+export const quote = (text: string): string =>
+  JSON.stringify(text.length > MAX_QUOTE_LENGTH ? `${text.slice(0, MAX_QUOTE_LENGTH)}…` : text)
+
+export const create = (reason: InvalidReason, message: string, problems?: Problem[]): Invalid =>
+  ({ kind: 'invalid', reason, message, ...(problems && { problems }) })
+
+const STATUSES: Partial<Record<InvalidReason, number>> = {
+  'malformed-request': 400,
+  'malformed-json': 400,
+  'bad-query': 400,
+  'bad-id': 400,
+  'bad-idempotency-key': 400,
+  unauthorized: 401,
+  'not-found': 404,
+  'unknown-target': 404,
+  'method-not-allowed': 405,
+  'request-timeout': 408,
+  'body-too-large': 413,
+  'unsupported-media-type': 415,
+  'headers-too-large': 431
+}
+
+/** HTTP status of the reason; 422 for a body that is JSON but not a valid request. */
+export const status = (reason: InvalidReason): number => STATUSES[reason] ?? 422
--- /dev/null
+++ b/packages/entry/src/http/operator.ts
@@ -0,0 +1,44 @@
+import * as crypto from 'node:crypto'
+import type * as koa from 'koa'
+import type Router from '@koa/router'
+import type * as status from '../status.ts'
+import * as invalid from './invalid.ts'
+import * as reply from './reply.ts'
+import * as validate from './validate.ts'
+
+const hash = (text: string): Buffer => crypto.createHash('sha256').update(text).digest()
+
+/** Requires the header `Authorization: Bearer <token>`; the comparison takes the same time for every wrong token. */
+const authorized = (token: string): koa.Middleware => {
+  const expected = hash(`Bearer ${token}`)
+  return async (context, next) => {
+    if (crypto.timingSafeEqual(hash(context.get('Authorization')), expected)) return next()
+    context.set('WWW-Authenticate', 'Bearer')
+    reply.refuse(context, invalid.create('unauthorized', 'the operator API needs the bearer token'))
+  }
+}
+
+export interface Parts {
+  token: string
+  status: () => status.Status
+  /** Starts a graceful stop of the named process; false if it is not known here. */
+  drain: (target: string, policy?: string) => boolean
+}
+
+/** Routes of operators. */
+export const register = (router: Router, parts: Parts): void => {
+  const guard = authorized(parts.token)
+
+  router.get('/v1/operator/status', guard, (context) => { context.body = parts.status() })
+
+  router.post('/v1/operator/drain', guard, (context) => {
+    const checked = validate.drain(context.request.body)
+    if (checked.kind === 'error') return reply.refuse(context, checked.error)
+    const { target, policy } = checked.value
+    if (!parts.drain(target, policy)) {
+      return reply.refuse(context, invalid.create('unknown-target', `this entry cannot drain ${invalid.quote(target)}`))
+    }
+    context.status = 202
+    context.body = { kind: 'draining', target }
+  })
+}
--- /dev/null
+++ b/packages/entry/src/status.ts
@@ -0,0 +1,34 @@
+import type * as messages from '@mustarddeck/messages'
+import type * as types from '@mustarddeck/types'
+
+/** A process with a link to this entry. */
+export interface Peer {
+  role: messages.Hello['role']
+  name: string
+  incarnation: types.Incarnation
+  failureDomain: types.FailureDomainName
+  address?: string
+  registered: boolean
+  slots: number
+  /** Version of the configuration in force there, 0 for none. */
+  configuration: number
+}
+
+/** State of an entry as operators see it. */
+export interface Status {
+  kind: 'status'
+  name: types.EntryName
+  incarnation: types.Incarnation
+  failureDomain: types.FailureDomainName
+  draining: boolean
+  configuration: number
+  openRequests: number
+  jobs: number
+  waitingTasks: number
+  runningTasks: number
+  bytes: number
+  entries: Peer[]
+  agents: Peer[]
+  /** Number of `not-run` answers by reason since the process started. */
+  refusals: Record<string, number>
+}
--- /dev/null
+++ b/packages/entry/src/testing/harness.ts
@@ -0,0 +1,75 @@
+import * as clock from '@mustarddeck/clock'
+import type * as core from '@mustarddeck/entry-core'
+import type * as errors from '@mustarddeck/errors'
+import type * as log from '@mustarddeck/log'
+import type * as platform from '@mustarddeck/platform'
+import * as driver from '../driver.ts'
+import * as idSource from '../id-source.ts'
+import * as idempotency from '../idempotency.ts'
+import * as requests from '../requests.ts'
+import type * as status from '../status.ts'
+import * as fakeCore from './fake-core.ts'
+import * as limits from '../http/limits.ts'
+import * as server from '../http/server.ts'
+
+export const TOKEN = 'token-of-the-test-operator'
+
+const silent: log.Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {}, with: () => silent }
+
+export interface Harness {
+  url: string
+  core: fakeCore.FakeCore
+  refusals: string[]
+  stop: () => Promise<void>
+}
+
+const unavailable = async (): Promise<errors.Result<never, platform.StoreError>> =>
+  ({ kind: 'error', error: { kind: 'unavailable', message: 'down' } })
+
+const downTable: platform.Table = { read: unavailable, list: unavailable, transact: unavailable }
+
+const emptyStatus = (): status.Status => ({
+  kind: 'status',
+  ...fakeCore.create(() => []).status(),
+  name: 'entry-1' as status.Status['name'],
+  failureDomain: 'khangai-a' as status.Status['failureDomain'],
+  configuration: 0,
+  openRequests: 0,
+  entries: [],
+  agents: [],
+  refusals: {}
+})
+
+/** Starts the HTTP layer on a free port of the loopback interface around a fake core, for tests. */
+export const start = async (
+  answer: (input: core.Input) => core.Effect[],
+  { table = downTable, ...bounds }: Partial<limits.Limits> & { table?: platform.Table } = {}
+): Promise<Harness> => {
+  const timers = clock.createSystem()
+  const core = fakeCore.create(answer)
+  const refusals: string[] = []
+  const run = driver.create({
+    core,
+    timers,
+    log: silent,
+    links: () => ({ send: () => {}, close: () => {} }),
+    requests: () => open,
+    registry: { fence: unavailable, depart: unavailable }
+  })
+  const open = requests.create(run.input)
+  const keys = idempotency.create({ table, ids: idSource.create(open.reserve, timers), timers, limitMs: 2000 })
+  const http = server.create({
+    requests: open,
+    keys,
+    limits: { ...limits.defaults, ...bounds },
+    refused: (reason) => { refusals.push(reason) },
+    operator: { token: TOKEN, status: emptyStatus, drain: (target) => target === 'entry-1' },
+    log: silent,
+    name: 'entry-1',
+    ready: () => true,
+    metrics: async () => '# HELP up 1\n',
+    responded: () => {}
+  })
+  const address = await http.listen('127.0.0.1', 0)
+  return { url: `http://${address}`, core, refusals, stop: () => http.stop() }
+}
