--- a/packages/entry/src/testing/fake-core.ts
+++ b/packages/entry/src/testing/fake-core.ts
@@ -17,8 +17,10 @@
     submitted: () => inputs.filter(({ kind }) => kind === 'submit').length,
     handle: (input) => {
       inputs.push(input)
-      if (input.kind === 'reserve') return [{ kind: 'reserved', request: input.request, reservation: RESERVATION }]
-      return answer(input)
+      const effects = answer(input)
+      return input.kind === 'reserve' && !effects.some(({ kind }) => kind === 'reserve-refused')
+        ? [{ kind: 'reserved', request: input.request, reservation: RESERVATION }]
+        : effects
     },
     deadline: () => undefined,
     status: () => ({
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -20,6 +20,10 @@
   url: string
   core: fakeCore.FakeCore
   refusals: string[]
+  /** Method and path of every route. */
+  routes: string[]
+  /** Makes the server not ready. */
+  drain: () => void
   stop: () => Promise<void>
 }
 
@@ -58,7 +62,8 @@
   })
   const open = requests.create(run.input)
   const keys = idempotency.create({ table, ids: idSource.create(open.reserve, timers), timers, limitMs: 2000 })
-  const http = server.create({
+  let ready = true
+  const parts: server.Parts = {
     requests: open,
     keys,
     limits: { ...limits.defaults, ...bounds },
@@ -66,10 +71,18 @@
     operator: { token: TOKEN, status: emptyStatus, drain: (target) => target === 'entry-1' },
     log: silent,
     name: 'entry-1',
-    ready: () => true,
+    ready: () => ready,
     metrics: async () => '# HELP up 1\n',
     responded: () => {}
-  })
+  }
+  const http = server.create(parts)
   const address = await http.listen('127.0.0.1', 0)
-  return { url: `http://${address}`, core, refusals, stop: () => http.stop() }
+  return {
+    url: `http://${address}`,
+    core,
+    refusals,
+    routes: server.routes(parts).stack.map(({ methods, path }) => `${methods.at(-1)!.toLowerCase()} ${String(path)}`),
+    drain: () => { ready = false },
+    stop: () => http.stop()
+  }
 }
