--- a/packages/entry/src/http/operator.ts
+++ b/packages/entry/src/http/operator.ts
@@ -9,17 +9,18 @@
 const hash = (text: string): Buffer => crypto.createHash('sha256').update(text).digest()
 
 /** Requires the header `Authorization: Bearer <token>`; the comparison takes the same time for every wrong token. */
-const authorized = (token: string): koa.Middleware => {
+const authorized = (token: string | undefined): koa.Middleware => {
   const expected = hash(`Bearer ${token}`)
   return async (context, next) => {
-    if (crypto.timingSafeEqual(hash(context.get('Authorization')), expected)) return next()
+    if (token !== undefined && crypto.timingSafeEqual(hash(context.get('Authorization')), expected)) return next()
     context.set('WWW-Authenticate', 'Bearer')
     reply.refuse(context, invalid.create('unauthorized', 'the operator API needs the bearer token'))
   }
 }
 
 export interface Parts {
-  token: string
+  /** Without a token the operator API refuses every request. */
+  token: string | undefined
   status: () => status.Status
   /** Starts a graceful stop of the named process; false if it is not known here. */
   drain: (target: string, policy?: string) => boolean
--- a/packages/entry/src/testing/fake-core.ts
+++ b/packages/entry/src/testing/fake-core.ts
@@ -23,6 +23,7 @@
         : effects
     },
     deadline: () => undefined,
+    demand: () => [],
     status: () => ({
       incarnation: 'abcdefgh' as types.Incarnation,
       draining: false,
--- a/packages/log/src/log.test.ts
+++ b/packages/log/src/log.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import * as fastCheck from 'fast-check'
-import * as logfmt from 'logfmt'
+import logfmt from 'logfmt'
 import * as log from './index.ts'
 
 const capture = (settings: Partial<log.Settings> = {}) => {
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -1,4 +1,4 @@
-import * as logfmt from 'logfmt'
+import logfmt from 'logfmt'
 import * as pino from 'pino'
 import type * as log from './interface.ts'
 
--- a/packages/log/src/logfmt.d.ts
+++ b/packages/log/src/logfmt.d.ts
@@ -1,4 +1,7 @@
 declare module 'logfmt' {
-  export function stringify (data: Record<string, unknown>): string
-  export function parse (line: string): Record<string, unknown>
+  const logfmt: {
+    stringify (data: Record<string, unknown>): string
+    parse (line: string): Record<string, unknown>
+  }
+  export default logfmt
 }
--- a/packages/mustarddeck/src/cli.ts
+++ b/packages/mustarddeck/src/cli.ts
@@ -3,13 +3,12 @@
 import * as exitCode from './exit-code.ts'
 import * as output from './output.ts'
 
-/** Result of a command's handler. */
-export type Handler<Arguments> = (args: Arguments) => Promise<number>
+/** Thrown by the parser so that no handler runs after wrong usage. */
+class UsageError extends Error {}
 
 /** Runs one command line and returns its exit code. */
 export const run = async (args: string[]): Promise<number> => {
   let code = exitCode.OK
-  let failed = false
   const parser = yargs(args)
     .scriptName('mustarddeck')
     .usage('$0 <command>\n\nDispatcher for short tasks whose callers wait for the result.')
@@ -21,14 +20,14 @@
     .help()
     .version(false)
     .exitProcess(false)
-    .fail((message, error) => {
-      if (failed) return
-      failed = true
-      if (error) throw error
-      output.printError(`${message}\nmustarddeck --help lists the commands and options`)
-      code = exitCode.USAGE
-    })
+    .fail((message, error) => { throw error ?? new UsageError(message) })
   for (const command of commands.all((result) => { code = result })) parser.command(command)
-  await parser.parseAsync()
-  return code
+  try {
+    await parser.parseAsync()
+    return code
+  } catch (failure) {
+    if (!(failure instanceof UsageError)) throw failure
+    output.printError(`${failure.message}\nmustarddeck --help lists the commands and options`)
+    return exitCode.USAGE
+  }
 }
