--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+export * from './agent.ts'
+export { start, type Running } from './start.ts'
--- /dev/null
+++ b/packages/agent/src/start.ts
@@ -0,0 +1,40 @@
+import * as clock from '@mustarddeck/clock'
+import * as log from '@mustarddeck/log'
+import * as membership from '@mustarddeck/membership'
+import * as platform from '@mustarddeck/platform'
+import * as random from '@mustarddeck/random'
+import type * as settings from '@mustarddeck/settings'
+import * as crypto from 'node:crypto'
+import * as agents from './agent.ts'
+
+export interface Running {
+  /** Host and port of `/live`, `/ready` and `/metrics`. */
+  address: string
+  stop (): Promise<void>
+}
+
+const MAX_SEED = 0x7fffffff
+
+/** Starts an agent on the system's clock and the platform that the settings name. */
+export const start = async (loaded: settings.Agent): Promise<Running> => {
+  const timers = clock.createSystem()
+  const generator = random.create(crypto.randomInt(MAX_SEED))
+  const store = platform.createClient({ url: loaded.platform.url, requestLimitMs: loaded.platform.timeoutMs })
+  const agent = agents.create({
+    settings: loaded,
+    registry: membership.create({ table: store.table, retry: { timers, random: generator.fork() } }),
+    log: log.create({
+      level: loaded.log.level, fields: { role: 'agent', name: loaded.worker }, secrets: [loaded.links.key]
+    }),
+    timers,
+    random: generator
+  })
+  const address = await agent.start()
+  return {
+    address,
+    stop: async () => {
+      await agent.stop()
+      store.close()
+    }
+  }
+}
--- a/packages/settings/src/check.ts
+++ b/packages/settings/src/check.ts
@@ -32,6 +32,7 @@
     case 'integer': return `integer${range(schema)}`
     case 'number': return `number${range(schema)}`
     case 'string': return 'text'
+    case 'boolean': return 'true or false'
     default: return schema['type'] ?? 'value'
   }
 }
--- a/packages/settings/src/index.test.ts
+++ b/packages/settings/src/index.test.ts
@@ -52,7 +52,7 @@
     `
     const lines = errorsOf('agent', text).map(settings.format).sort()
     expect(lines).to.deep.equal([
-      'some.toml: backend.url: missing setting; expected URL that begins with http:// or https://',
+      'some.toml: backend.url: missing setting; expected URL that begins with http://',
       'some.toml: failureDomain: missing setting; expected text of 1 to 128 characters',
       'some.toml: limits.connections: unknown setting; did you mean backend.connections?',
       'some.toml: links.entries.0: wrong value: text; expected address as "host:port"',
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -17,6 +17,7 @@
   pattern: '^(\\[[0-9a-fA-F:.]+\\]|[^\\s:/\\[\\]]+):[0-9]{1,5}$', description: 'address as "host:port"'
 })
 const Url = Type.String({ pattern: '^https?://[^\\s/]+', description: 'URL that begins with http:// or https://' })
+const BackendUrl = Type.String({ pattern: '^http://[^\\s/]+', description: 'URL that begins with http://' })
 /** Given inline, or as `<name>File` with the path of a file that holds it. */
 const Secret = Type.String({
   minLength: MIN_SECRET_LENGTH, description: `text of at least ${MIN_SECRET_LENGTH} characters`
@@ -75,9 +76,11 @@
     accelerators: Type.Integer({ minimum: 0, default: 0 })
   }),
   backend: table({
-    url: Url,
+    url: BackendUrl,
     /** Connections to the backend server; further calls wait for one. */
-    connections: Positive(64)
+    connections: Positive(64),
+    /** Largest answer of the backend server. */
+    maxResultBytes: Positive(MEGABYTE)
   }),
   links: table({ entries: Type.Array(Address, { minItems: 1 }), key: Secret, ...limits }),
   platform: Platform,
@@ -95,13 +98,16 @@
   http: Http,
   /** Seed of the random faults. */
   seed: Type.Integer({ default: 1 }),
+  /** Requests above these rates are refused. */
+  limits: table({ writesPerSecond: Positive(300), readsPerSecond: Positive(2000) }),
   faults: table({
-    readMs: Duration(1),
-    writeMs: Duration(5),
-    /** Shares of requests, 0 to 1. */
-    unavailable: Share,
+    down: Type.Boolean({ default: false }),
+    delayMs: Duration(5),
+    /** Probabilities, 0 to 1, that a write is not answered, with or without effect. */
     lostAnswers: Share,
-    staleReads: Share
+    lostRequests: Share,
+    /** Reads may be this many transactions old. */
+    staleness: Type.Integer({ minimum: 0, default: 0 })
   }),
   log: Log
 })
