--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -38,6 +38,7 @@
   address: string
   /** Adds the address of another entry to those that this one keeps a link to. */
   dial (address: string): void
+  configure (rules: types.Rules): void
   status (): status.Status
   /** Finishes jobs and requests in progress and hands outcomes over. A second call waits for the first. */
   stop (): Promise<void>
@@ -79,7 +80,7 @@
   })
   const incarnation = core.status().incarnation
   let address = configuredAddress
-  const configuration = 0
+  let configuration = 0
   let ending: Promise<void> | undefined
   let resolveEnded = (): void => {}
   const ended = new Promise<void>((resolve) => { resolveEnded = resolve })
@@ -211,6 +212,16 @@
   driver.input({ kind: 'timer' })
   log.info('started', { http: httpAddress, links: address, incarnation })
   return {
-    name, url: `http://${httpAddress}`, address, dial: (entry) => links.dial(entry), status: state, stop, ended
+    name,
+    url: `http://${httpAddress}`,
+    address,
+    dial: (entry) => links.dial(entry),
+    configure: (rules) => {
+      configuration = rules.version
+      driver.input({ kind: 'rules', rules })
+    },
+    status: state,
+    stop,
+    ended
   }
 }
--- a/packages/mustarddeck/src/commands/local.ts
+++ b/packages/mustarddeck/src/commands/local.ts
@@ -11,7 +11,7 @@
 const run = async (options: Options): Promise<number> => {
   const samples = await import('../samples.ts')
   const deployments = await import('../deployment.ts')
-  const sample = samples.samples[options.sample]
+  const sample = samples.load(options.sample)
   const deployment = await deployments.start({ ...options, sample })
   const [first] = deployment.entries
   const job = JSON.stringify(sample.job)
--- a/packages/mustarddeck/src/deployment.ts
+++ b/packages/mustarddeck/src/deployment.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto'
 import * as agents from '@mustarddeck/agent'
 import * as clock from '@mustarddeck/clock'
+import * as declarations from '@mustarddeck/declarations'
 import * as entries from '@mustarddeck/entry'
 import * as errors from '@mustarddeck/errors'
 import * as settings from '@mustarddeck/settings'
@@ -12,6 +13,8 @@
 const AGENTS = 3
 const SECRET_BYTES = 24
 const READY_CHECK_MS = 20
+/** The agents stop after the entries, which do not come back to take their outcomes. */
+const LEAVE_GRACE_MS = 100
 
 export interface Options {
   sample: samples.Sample
@@ -75,9 +78,12 @@
     backend: { url: `${url}/run`, connections: sample.connections },
     links: { entries: startedEntries.map(({ address }) => address), key },
     platform: { url: platform.url },
+    limits: { leaveGraceMs: LEAVE_GRACE_MS },
     log
   }))))
-  await sample.publish(platform.url)
+  const set = declarations.parse(sample.files)
+  errors.invariant(set.kind === 'ok', JSON.stringify(set))
+  for (const entry of startedEntries) entry.configure(declarations.toRules(set.value, 1))
   await ready(startedEntries)
 
   return {
--- /dev/null
+++ b/packages/mustarddeck/src/samples.ts
@@ -0,0 +1,58 @@
+import * as fs from 'node:fs'
+import * as sea from 'node:sea'
+import type * as types from '@mustarddeck/types'
+
+export type SampleName = 'corkbook' | 'benchdesk'
+
+/** Declarations and a job of one of the users, and the shape of its workers. */
+export interface Sample {
+  name: SampleName
+  /** Files of declarations: path and content. */
+  files: { file: string, text: string }[]
+  failureDomains: string[]
+  slots: number
+  connections: number
+  resources: types.Resources
+  /** A job that the sample's declarations accept. */
+  job: { team: string, type: string, tasks: { name: string, payload: unknown }[] }
+}
+
+const FILES = ['fleet.toml', 'tasks.toml', 'teams.toml']
+
+/** Reads from the executable, or from the source tree when the program runs from its source. */
+const read = (file: string): string => sea.isSea()
+  ? sea.getAsset(file, 'utf8')
+  : fs.readFileSync(new URL(`../../../${file}`, import.meta.url), 'utf8')
+
+const files = (name: SampleName): Sample['files'] =>
+  FILES.map((file) => `examples/${name}/${file}`).map((file) => ({ file, text: read(file) }))
+
+const SLOTS = 8
+const CONNECTIONS = 64
+
+const shapes: Record<SampleName, Omit<Sample, 'name' | 'files'>> = {
+  corkbook: {
+    failureDomains: ['khangai-a', 'khangai-b', 'khangai-c'],
+    slots: SLOTS,
+    connections: CONNECTIONS,
+    resources: { cores: 16, memoryMb: 32_000, accelerators: 0 },
+    job: {
+      team: 'depots',
+      type: 'weigh-in',
+      tasks: [{ name: 'left-scale', payload: { kg: 412 } }, { name: 'right-scale', payload: { kg: 398 } }]
+    }
+  },
+  benchdesk: {
+    failureDomains: ['waco-floor', 'temple-bay', 'bryan-dock'],
+    slots: SLOTS,
+    connections: CONNECTIONS,
+    resources: { cores: 32, memoryMb: 64_000, accelerators: 0 },
+    job: {
+      team: 'waco',
+      type: 'wiring-check',
+      tasks: [{ name: 'wire-1', payload: { from: 'J1-4' } }, { name: 'wire-2', payload: { from: 'J1-5' } }]
+    }
+  }
+}
+
+export const load = (name: SampleName): Sample => ({ name, files: files(name), ...shapes[name] })
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,50 @@
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as url from 'node:url'
+import * as esbuild from 'esbuild'
+import * as postject from 'postject'
+
+// Builds dist/mustarddeck: one bundle, injected into a copy of the Node executable as a single executable application.
+
+/** Marks the place in the Node executable that tells it to run the injected bundle. */
+const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+const RESOURCE = 'NODE_SEA_BLOB'
+
+const root = url.fileURLToPath(new URL('..', import.meta.url))
+const dist = path.join(root, 'dist')
+const bundle = path.join(dist, 'mustarddeck.cjs')
+const blob = path.join(dist, 'mustarddeck.blob')
+const executable = path.join(dist, 'mustarddeck')
+
+/** Sample declarations by the path under which the program asks for them. */
+const assets = (): Record<string, string> => Object.fromEntries(['corkbook', 'benchdesk'].flatMap((sample) =>
+  fs.readdirSync(path.join(root, 'examples', sample)).map((file) => {
+    const name = `examples/${sample}/${file}`
+    return [name, path.join(root, name)]
+  })))
+
+await esbuild.build({
+  entryPoints: [path.join(root, 'packages/mustarddeck/src/main.ts')],
+  outfile: bundle,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minifySyntax: true,
+  legalComments: 'none',
+  logLevel: 'warning',
+  // Used only where the program runs from its source, outside a single executable application.
+  define: { 'import.meta.url': 'undefined' },
+  // Optional accelerators of ws, which it does without.
+  external: ['bufferutil', 'utf-8-validate']
+})
+const config = path.join(dist, 'sea.json')
+fs.writeFileSync(config, JSON.stringify({
+  main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: false, assets: assets()
+}))
+childProcess.execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' })
+fs.copyFileSync(process.execPath, executable)
+await postject.inject(executable, RESOURCE, fs.readFileSync(blob), { sentinelFuse: SENTINEL })
+fs.chmodSync(executable, 0o755)
+process.stdout.write(`${executable}: ${(fs.statSync(executable).size / 2 ** 20).toFixed(1)} MiB\n`)
