--- a/packages/mustarddeck/src/deployment.ts
+++ b/packages/mustarddeck/src/deployment.ts
@@ -92,7 +92,8 @@
     entries: startedEntries,
     token,
     stop: async () => {
-      await Promise.all(startedEntries.map((entry) => entry.stop()))
+      // One after the other, so that each can hand over to the next.
+      for (const entry of startedEntries) await entry.stop()
       await Promise.all(startedAgents.map((agent) => agent.stop()))
       await Promise.all(backends.map((backend) => backend.stop()))
       await platform.stop()
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -34,10 +34,14 @@
   minifySyntax: true,
   legalComments: 'none',
   logLevel: 'warning',
-  // Used only where the program runs from its source, outside a single executable application.
-  define: { 'import.meta.url': 'undefined' },
-  // Optional accelerators of ws, which it does without.
-  external: ['bufferutil', 'utf-8-validate']
+  // Modules that look for files beside them look beside the executable.
+  banner: { js: 'const bundleUrl = require(\'node:url\').pathToFileURL(process.execPath).href' },
+  define: {
+    'import.meta.url': 'bundleUrl',
+    // Without these, ws looks for optional native modules, which a bundle cannot hold.
+    'process.env.WS_NO_BUFFER_UTIL': '"1"',
+    'process.env.WS_NO_UTF_8_VALIDATE': '"1"'
+  }
 })
 const config = path.join(dist, 'sea.json')
 fs.writeFileSync(config, JSON.stringify({
