--- /dev/null
+++ b/packages/explore/src/events.ts
@@ -0,0 +1,134 @@
+import * as fc from 'fast-check'
+import type * as backend from './fakes/backend.ts'
+import type * as platform from './fakes/platform.ts'
+
+/** Entries, agents and jobs are meant by number, modulo how many there are at the time. Times are in ms. */
+export type Action =
+  | { kind: 'submit', runMs: number[], issuer: number | undefined, entry: number, waitMs: number }
+  | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number }
+  | { kind: 'duplicate', job: number, entry: number, other: number }
+  | { kind: 'abandon', job: number }
+  | { kind: 'crash', process: number, silent: boolean, downMs: number }
+  | { kind: 'pause', process: number, durationMs: number }
+  | { kind: 'partition', a: number, b: number, durationMs: number }
+  | { kind: 'break', a: number, b: number }
+  | { kind: 'slow', a: number, b: number, extraDelayMs: number, durationMs: number }
+  | { kind: 'leave', process: number, replaceMs: number }
+  | { kind: 'join', role: 'entry' | 'agent' }
+  | { kind: 'store', fault: platform.StoreFault, durationMs: number }
+  | { kind: 'backend', worker: number, fault: backend.BackendFault, durationMs: number }
+
+export type Event = Action & { at: number }
+
+/** Durations of the settings that matter to safety, short enough for the run to pass all of them. */
+export interface Profile {
+  blockLifetimeMs: number
+  blockRetentionMs: number
+  removeAgentAfterMs: number
+  orphanAfterMs: number
+  orphanRetentionMs: number
+}
+
+export interface Schedule {
+  /** Seed of delays, identities and the choices of the code under test. */
+  seed: number
+  profile: Profile
+  /** The store is down from the start for this long. */
+  storeDownMs: number
+  events: Event[]
+}
+
+const LAST_EVENT_MS = 12_000
+const MAX_EVENTS = 30
+
+const number = fc.nat({ max: 11 })
+const processNumber = fc.nat({ max: 5 })
+const durationMs = fc.oneof(
+  { weight: 2, arbitrary: fc.integer({ min: 10, max: 900 }) },
+  { weight: 2, arbitrary: fc.integer({ min: 900, max: 4500 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 4500, max: 9000 }) })
+const runMs = fc.array(fc.oneof(
+  { weight: 6, arbitrary: fc.integer({ min: 20, max: 600 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 600, max: 3000 }) }), { minLength: 1, maxLength: 5 })
+const waitMs = fc.constantFrom(0, 100, 1000, 5000)
+
+const kind = <Kind extends string>(...kinds: Kind[]): fc.Arbitrary<Kind> => fc.constantFrom(...kinds)
+
+const submit = fc.record({
+  kind: kind('submit'), runMs, issuer: fc.option(number, { freq: 6, nil: undefined }), entry: number, waitMs
+})
+const extraDelayMs = fc.integer({ min: 10, max: 1500 })
+const [a, b] = [processNumber, processNumber]
+const weighted: Array<[number, fc.Arbitrary<Action>]> = [
+  [9, submit],
+  [6, fc.record({ kind: kind('resubmit', 'resubmit', 'inquire', 'cancel', 'conflict'), job: number, entry: number })],
+  [1, fc.record({ kind: kind('duplicate'), job: number, entry: number, other: number })],
+  [1, fc.record({ kind: kind('abandon'), job: number })],
+  [3, fc.record({ kind: kind('crash'), process: processNumber, silent: fc.boolean(), downMs: durationMs })],
+  [3, fc.record({ kind: kind('pause'), process: processNumber, durationMs })],
+  [4, fc.record({ kind: kind('partition'), a, b, durationMs })],
+  [3, fc.record({ kind: kind('break'), a, b })],
+  [1, fc.record({ kind: kind('slow'), a, b, extraDelayMs, durationMs })],
+  [2, fc.record({ kind: kind('leave'), process: processNumber, replaceMs: durationMs })],
+  [1, fc.record({ kind: kind('join'), role: kind('entry', 'agent') })],
+  [2, fc.record({ kind: kind('store'), fault: kind('down', 'answer-lost', 'stale'), durationMs })],
+  [1, fc.record({ kind: kind('backend'), worker: number, fault: kind('refuse', 'error', 'lose'), durationMs })]
+]
+const action = fc.oneof(...weighted.map(([weight, arbitrary]) => ({ weight, arbitrary })))
+
+/** Nothing expires within a run. */
+const unhurried: Profile = {
+  blockLifetimeMs: 60_000,
+  blockRetentionMs: 60_000,
+  removeAgentAfterMs: 60_000,
+  orphanAfterMs: 60_000,
+  orphanRetentionMs: 60_000
+}
+
+const profile: fc.Arbitrary<Profile> = fc.constantFrom(
+  { ...unhurried, removeAgentAfterMs: 4000 },
+  { ...unhurried, orphanAfterMs: 6000, orphanRetentionMs: 3000 },
+  { ...unhurried, blockLifetimeMs: 5000, removeAgentAfterMs: 6000 },
+  {
+    blockLifetimeMs: 3000,
+    blockRetentionMs: 5000,
+    removeAgentAfterMs: 4000,
+    orphanAfterMs: 8000,
+    orphanRetentionMs: 2000
+  })
+
+const event: fc.Arbitrary<Event> = fc.tuple(fc.nat({ max: LAST_EVENT_MS }), action)
+  .map(([at, value]) => ({ at, ...value }))
+
+export const schedule: fc.Arbitrary<Schedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 0x7fffffff }),
+  profile,
+  storeDownMs: fc.oneof(
+    { weight: 6, arbitrary: fc.constant(0) },
+    { weight: 1, arbitrary: fc.integer({ min: 1, max: 9000 }) }),
+  events: fc.array(event, { minLength: 1, maxLength: MAX_EVENTS, size: 'max' })
+})
+
+/** Work without any fault: every job is submitted before any is submitted again, and callers wait for the outcome. */
+export const faultless: fc.Arbitrary<Schedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 0x7fffffff }),
+  profile: fc.constant(unhurried),
+  storeDownMs: fc.constant(0),
+  events: fc.tuple(
+    fc.array(fc.tuple(fc.nat({ max: 2000 }), submit), { minLength: 1, maxLength: 8, size: 'max' }),
+    fc.array(fc.tuple(fc.integer({ min: 5000, max: 7000 }),
+      fc.record({ kind: kind('resubmit', 'conflict'), job: number, entry: number })), { maxLength: 8, size: 'max' })
+  ).map(([first, again]): Event[] => [
+    ...first.map(([at, value]) => ({ at, ...value, waitMs: 60_000 })),
+    ...again.map(([at, value]) => ({ at, ...value }))
+  ])
+})
+
+/** One line per event, in order of time. */
+export const format = (value: Schedule): string => {
+  const lines = [...value.events].sort((a, b) => a.at - b.at).map(({ at, kind, ...rest }) =>
+    `${String(at).padStart(6)} ms  ${kind.padEnd(10)} ${Object.entries(rest).map(([key, part]) =>
+      `${key}=${Array.isArray(part) ? part.join(',') : String(part)}`).join(' ')}`)
+  return [`seed ${value.seed}, profile ${JSON.stringify(value.profile)}, store down at first for ${value.storeDownMs} ms`,
+    ...lines].join('\n')
+}
