Queue a task again when its agent has no record of it

Cause: after a link was replaced, a task without a record was first reported to placement as ended and then requeued. The end of the last task of a job makes placement forget the job, so the requeued task was never started and the job stayed pending for good.

Placement's requeue releases the slot by itself, so the report of an end is gone. The schedule is kept as a test; it fails without this change.

--- a/packages/entry-core/src/owned-jobs.ts
+++ b/packages/entry-core/src/owned-jobs.ts
@@ -144,10 +144,8 @@
     }
   }
   const requeue = (job: jobs.Job, index: number, at: jobs.Location): void => {
-    const key = { link: at.placedOn, job: job.id, index }
-    placement.finished({ ...key, end: 'lost', runMs: 0, renewed: false }, context.now())
     returnToQueue(job, index, at)
-    if (!job.stop && !job.outcome) placement.requeue(job.id, index, context.now())
+    placement.requeue(job.id, index, context.now())
   }
   const loseTask = (job: jobs.Job, index: number, at: jobs.Location): void => {
     leaveProgress(job, index, at, { kind: 'lost' })
