Give a resubmission the names of tasks that never started

Cause: agents' records hold no names of tasks that never started.

Each waiting submission now gets the names from its own content, which has the digest of the records.

--- a/packages/entry-core/src/routing.ts
+++ b/packages/entry-core/src/routing.ts
@@ -33,6 +33,13 @@
   link?: types.LinkId
 }
 
+/** Records do not hold the names of tasks that never started; a submission of the same content does. */
+const withNames = (outcome: types.Outcome, operation: owners.Operation): types.Outcome => {
+  if (outcome.kind !== 'failed' || operation.kind !== 'submit') return outcome
+  const names = operation.submission.tasks.map(({ name }) => name)
+  return { ...outcome, tasks: outcome.tasks.map((task, index) => ({ ...task, name: names[index] ?? task.name })) }
+}
+
 export const create = ({ context, entries, waiters, recovery }: {
   context: contexts.Context
   entries: entryPeers.Entries
@@ -116,7 +123,7 @@
     decided: (job, outcome, digest) => {
       for (const routed of [...recovering.get(job) ?? []]) {
         const isOther = digest !== undefined && routed.waiter.digest !== undefined && routed.waiter.digest !== digest
-        finish(routed, isOther ? { kind: 'conflict', job } : outcome)
+        finish(routed, isOther ? { kind: 'conflict', job } : withNames(outcome, routed.operation))
       }
     },
     pending: () => requests.size
--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -26,5 +26,19 @@
         { at: 0, kind: 'submit', runMs: [20, 20], issuer: undefined, entry: 3, waitMs: 0 }
       ]
     }
+  },
+  {
+    cause: 'a resubmission did not learn the names of tasks that never started, because a cancellation came first',
+    schedule: {
+      seed: 1,
+      profile,
+      storeDownMs: 0,
+      events: [
+        { at: 584, kind: 'break', a: 0, b: 1 },
+        { at: 820, kind: 'submit', runMs: [20, 600], issuer: undefined, entry: 0, waitMs: 0 },
+        { at: 824, kind: 'cancel', job: 0, entry: 3 },
+        { at: 825, kind: 'crash', process: 0, silent: false, downMs: 4500 }
+      ]
+    }
   }
 ]
