--- /dev/null
+++ b/packages/explore/src/findings.ts
@@ -0,0 +1,44 @@
+import type * as events from './events.ts'
+
+/** A schedule that once broke a promise, shrunk, with the cause that it had. */
+export interface Finding {
+  cause: string
+  schedule: events.Schedule
+}
+
+const profile: events.Profile = {
+  blockLifetimeMs: 60_000,
+  blockRetentionMs: 60_000,
+  removeAgentAfterMs: 4000,
+  orphanAfterMs: 60_000,
+  orphanRetentionMs: 60_000
+}
+
+export const findings: Finding[] = [
+  {
+    cause: 'a task without a record after its link was replaced was taken off the queue for good',
+    schedule: {
+      seed: 1,
+      profile,
+      storeDownMs: 0,
+      events: [
+        { at: 0, kind: 'pause', process: 2, durationMs: 3028 },
+        { at: 0, kind: 'submit', runMs: [20, 20], issuer: undefined, entry: 3, waitMs: 0 }
+      ]
+    }
+  },
+  {
+    cause: 'a resubmission did not learn the names of tasks that never started, because a cancellation came first',
+    schedule: {
+      seed: 1,
+      profile,
+      storeDownMs: 0,
+      events: [
+        { at: 584, kind: 'break', a: 0, b: 1 },
+        { at: 820, kind: 'submit', runMs: [20, 600], issuer: undefined, entry: 0, waitMs: 0 },
+        { at: 824, kind: 'cancel', job: 0, entry: 3 },
+        { at: 825, kind: 'crash', process: 0, silent: false, downMs: 4500 }
+      ]
+    }
+  }
+]
