--- /dev/null
+++ b/packages/mustarddeck/src/commands/configuration/diff.ts
@@ -0,0 +1,28 @@
+import * as declarations from '@mustarddeck/declarations'
+import type * as configuration from '@mustarddeck/configuration'
+import * as exitCode from '../../exit-code.ts'
+import * as describe from './describe.ts'
+import type * as options from './options.ts'
+import type * as reports from './report.ts'
+import * as sessions from './session.ts'
+
+export type Options = options.Directory & options.Store & { base?: number }
+
+/** Report of what publishing would do. */
+export const planned = (plan: configuration.Published): reports.Report => plan.kind === 'unchanged'
+  ? { code: exitCode.OK, lines: [`no change to version ${plan.version}`], json: { ok: true, ...plan, changes: [] } }
+  : {
+      code: exitCode.OK,
+      lines: [
+        ...describe.changes(plan.changes),
+        `${plan.changes.length} objects would change${plan.merged ? ', after a merge with later changes' : ''}`
+      ],
+      json: { ok: true, kind: 'planned', version: plan.version, changes: plan.changes, merged: plan.merged }
+    }
+
+export const diff = async ({ directory, platform, base }: Options): Promise<reports.Report> => {
+  const set = await declarations.load(directory)
+  if (set.kind === 'error') return describe.problems(set.error)
+  const plan = await sessions.use(platform, ({ publisher }) => publisher.plan({ declarations: set.value, base }))
+  return plan.kind === 'ok' ? planned(plan.value) : describe.publishError(plan.error)
+}
