--- a/packages/declarations/src/schemas.ts
+++ b/packages/declarations/src/schemas.ts
@@ -37,7 +37,8 @@
 })
 
 export const DrainPolicy = declaration('drain-policy', 'How a planned stop proceeds; it never cuts a running task.', {
-  timeLimitMs: Count('time after which a drain that has not ended is reported as overdue', 1, { maximum: DAY_MS })
+  timeLimitMs: Count('time after which a drain that has not ended is reported as overdue', 1, { maximum: DAY_MS }),
+  maxAtOnce: Count('workers of one failure domain that may drain at the same time', 1, { default: 1 })
 })
 
 export const Service = declaration('service', 'Backend server program that runs tasks.', {
