Bound retries in time, and refuse malformed published objects

While requests hang, 20 attempts of 5 s each would keep a caller of the registry for 100 s; no attempt begins more than 10 s after the first now. A published set with a list in place of an object was accepted as an empty team. Random files now test that the parser reports every mistake instead of throwing.

--- a/packages/declarations/src/content.ts
+++ b/packages/declarations/src/content.ts
@@ -37,9 +37,10 @@
   const unknown: problems.Problem[] = []
   for (const [key, fields] of Object.entries(named as Record<string, unknown>)) {
     const [kind = '', name = ''] = key.split('/')
-    if (schemas.isKind(kind) && name !== '' && typeof fields === 'object' && fields !== null) {
+    const plain = typeof fields === 'object' && fields !== null && !Array.isArray(fields)
+    if (plain && schemas.isKind(kind) && schemas.isName(name) && key === objects.keyOf(kind, name)) {
       set.set(key, { kind, name, fields: fields as Record<string, unknown> })
-    } else unknown.push({ object: key, message: 'unknown kind of object' })
+    } else unknown.push({ object: key, message: 'not an object of a known kind' })
   }
   const found = [...unknown, ...check.check(set, { complete: unknown.length === 0 })]
   return found.length === 0 ? errors.ok(set) : errors.error(found)
--- a/packages/declarations/src/declarations.test.ts
+++ b/packages/declarations/src/declarations.test.ts
@@ -1,8 +1,11 @@
 import * as fs from 'node:fs'
 import { expect } from 'chai'
+import fc from 'fast-check'
+import * as toml from 'smol-toml'
 import * as declarations from './index.ts'
 import * as reference from './reference.ts'
 
+const SEED = 3
 const ROOT = new URL('../../../', import.meta.url)
 
 const SOUND = `
@@ -136,10 +139,40 @@
   // A process must keep its version rather than take one that its code cannot interpret.
   it('refuses published content that is not a sound set', () => {
     const contents = ['', 'null', '{}', '{"format":2,"objects":{}}', '{"format":1,"objects":{}}',
-      '{"format":1,"objects":{"team":{}}}', '{"format":1,"objects":{"team/a":{"wait":1}}}']
+      '{"format":1,"objects":{"team":{}}}', '{"format":1,"objects":{"team/a":[]}}',
+      '{"format":1,"objects":{"team/a/b":{}}}', '{"format":1,"objects":{"__proto__/a":{}}}', '{"format":1,"objects":{"team/a":{"wait":1}}}']
     for (const content of contents) expect(declarations.deserialize(content).kind, content).to.equal('error')
   })
 
+  // An operator gets a list of problems for whatever is in the files, never an exception.
+  it(`reports or accepts any value in any place (seed ${SEED})`, () => {
+    const kinds = [...declarations.kindNames, 'teem']
+    const fields = declarations.kindNames.flatMap((kind) => Object.keys(declarations.kinds[kind].properties))
+    const leaf = fc.oneof(
+      fc.integer(), fc.double({ noNaN: true }), fc.string(), fc.boolean(), fc.date({ noInvalidDate: true }),
+      fc.constantFrom('a', 'b'), fc.array(fc.constantFrom('a', 'b')), fc.constant({}))
+    const object = fc.dictionary(fc.constantFrom(...fields), leaf)
+    const named = fc.dictionary(fc.constantFrom('a', 'b', 'c d', '__proto__'), fc.oneof(object, leaf))
+    const teams = fc.dictionary(fc.constantFrom('a', 'b'), fc.record({
+      weight: fc.integer({ min: 1, max: 9 }), extends: fc.constantFrom('a', 'b')
+    }, { requiredKeys: [] }))
+    const file = fc.oneof(fc.dictionary(fc.constantFrom(...kinds), fc.oneof(named, leaf)), fc.record({ team: teams }))
+    let accepted = 0
+    fc.assert(fc.property(file, (tables) => {
+      const text = toml.stringify(tables)
+      const result = declarations.parse([{ file: 'a.toml', text }])
+      if (result.kind === 'error') {
+        expect(result.error.length).to.be.greaterThan(0)
+        result.error.map(declarations.formatProblem)
+        return
+      }
+      accepted += 1
+      expect(declarations.deserialize(declarations.serialize(result.value)).kind).to.equal('ok')
+      declarations.toRules(result.value, 1)
+    }), { numRuns: 2000, seed: SEED })
+    expect(accepted).to.be.greaterThan(100)
+  })
+
   it('is described by an up-to-date reference page', () => {
     const page = fs.readFileSync(new URL('docs/configuration-reference.md', ROOT), 'utf8')
     expect(page, 'run: npm run reference -w @mustarddeck/declarations').to.equal(reference.render())
--- a/packages/declarations/src/parse.ts
+++ b/packages/declarations/src/parse.ts
@@ -18,8 +18,6 @@
   problems: problems.Problem[]
 }
 
-const NAME = new RegExp(schemas.NAME_PATTERN)
-
 const isTable = (candidate: unknown): candidate is Record<string, unknown> =>
   typeof candidate === 'object' && candidate !== null && !Array.isArray(candidate) && !(candidate instanceof Date)
 
@@ -36,7 +34,7 @@
   const object = objects.keyOf(kind, name)
   if (!isTable(fields)) {
     problems.push({ file, object, message: `expected a table [${kind}.${name}]` })
-  } else if (!NAME.test(name)) {
+  } else if (!schemas.isName(name)) {
     problems.push({ file, object, message: 'a name consists of up to 63 lower-case letters, digits and hyphens' })
   } else if (set.has(object)) {
     problems.push({ file, object, message: `duplicate; also declared in ${files.get(object)}` })
--- a/packages/declarations/src/schemas.ts
+++ b/packages/declarations/src/schemas.ts
@@ -88,6 +88,10 @@
 
 export const kindNames = Object.keys(kinds) as Kind[]
 
+const NAME = new RegExp(NAME_PATTERN)
+
+export const isName = (text: string): boolean => NAME.test(text)
+
 export const isKind = (text: string): text is Kind => Object.hasOwn(kinds, text)
 
 /** Fields of a kind that name other objects, with the kind of those. */
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http'
+import * as https from 'node:https'
 import * as errors from '@mustarddeck/errors'
 import type * as typebox from '@sinclair/typebox'
 import * as value from '@sinclair/typebox/value'
@@ -23,7 +24,7 @@
 export interface Client {
   table: table.Table
   objects: table.ObjectStore
-  /** Closes idle connections. */
+  /** Closes all connections; requests in progress fail. */
   close (): void
 }
 
@@ -54,9 +55,10 @@
 
 /** Client of the platform's HTTP interface. It never repeats a request; whoever calls decides on that. */
 export const createClient = (options: ClientOptions): Client => {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS })
+  const pool = { keepAlive: true, maxSockets: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS }
+  const agent = { http: new http.Agent(pool), https: new https.Agent(pool) }
   const request = got.extend({
-    agent: { http: agent },
+    agent,
     retry: { limit: 0 },
     throwHttpErrors: false,
     followRedirect: false,
@@ -117,5 +119,9 @@
     get = (key: string) => get(protocol.paths.object, key, protocol.ObjectContent, ({ content }) => content)
   }
 
-  return { table: new HttpTable(), objects: new HttpObjectStore(), close: () => agent.destroy() }
+  const close = (): void => {
+    agent.http.destroy()
+    agent.https.destroy()
+  }
+  return { table: new HttpTable(), objects: new HttpObjectStore(), close }
 }
--- a/packages/platform/src/memory.test.ts
+++ b/packages/platform/src/memory.test.ts
@@ -84,4 +84,17 @@
     expect(await run(['conflict', 'unavailable', 'ok'])).to.equal('unavailable')
     expect(await run(['conflict', 'conflict'])).to.equal('unavailable')
   })
+
+  it('begins no attempt after its time limit', async () => {
+    const timers = clock.createVirtual()
+    let begun = 0
+    const attempt = async (): Promise<errors.Result<never, platform.StoreError>> => {
+      begun += 1
+      await new Promise<void>((resolve) => timers.after(5000, resolve))
+      return errors.error({ kind: 'uncertain', message: '' })
+    }
+    const random = { float: () => 0.5 } as never
+    await platform.drive(timers, platform.retry({ timers, random, attempts: 20, limitMs: 12_000 }, attempt))
+    expect(begun).to.equal(3)
+  })
 })
--- a/packages/platform/src/memory.ts
+++ b/packages/platform/src/memory.ts
@@ -27,7 +27,7 @@
 }
 
 /** Transactions after which an overwritten value can no longer be seen by a stale read. */
-export const MAX_STALENESS = 1000
+export const MAX_STALENESS = 100
 
 export interface Memory {
   table: table.Table
--- a/packages/platform/src/retry.ts
+++ b/packages/platform/src/retry.ts
@@ -8,9 +8,13 @@
   timers: clock.Timers
   random: random.Random
   attempts?: number
+  /** No attempt begins later than this after the first. */
+  limitMs?: number
 }
 
 const DEFAULT_ATTEMPTS = 20
+/** While requests to the store hang, the attempts alone would take several minutes. */
+const DEFAULT_LIMIT_MS = 10_000
 const FIRST_DELAY_MS = 10
 const MAX_DELAY_MS = 500
 
@@ -27,9 +31,12 @@
 export const retry = async <Value>(
   bounds: Retry, step: () => Promise<errors.Result<Value, table.StoreError>>
 ): Promise<errors.Result<Value, table.StoreError>> => {
+  const { timers, attempts = DEFAULT_ATTEMPTS, limitMs = DEFAULT_LIMIT_MS } = bounds
+  const end = timers.monotonic() + limitMs
   let doubt: table.StoreError | undefined
-  for (let attempt = 0; attempt < (bounds.attempts ?? DEFAULT_ATTEMPTS); attempt += 1) {
+  for (let attempt = 0; attempt < attempts; attempt += 1) {
     if (attempt > 0) await pause(bounds, attempt)
+    if (timers.monotonic() > end) break
     const result = await step()
     if (result.kind === 'ok') return result
     if (result.error.kind === 'uncertain') doubt = result.error
