--- a/packages/link/src/links.test.ts
+++ b/packages/link/src/links.test.ts
@@ -1,110 +1,33 @@
 import { expect } from 'chai'
-import * as clock from '@mustarddeck/clock'
-import type * as log from '@mustarddeck/log'
-import type * as messages from '@mustarddeck/messages'
-import * as random from '@mustarddeck/random'
-import type * as types from '@mustarddeck/types'
-import * as link from './index.ts'
-
-const KEY = 'a shared key of the tests'
-const LOCALHOST = '127.0.0.1'
-
-type Event =
-  | { kind: 'up', link: types.LinkId, hello: messages.Hello }
-  | { kind: 'message', link: types.LinkId, message: messages.Message }
-  | { kind: 'down', link: types.LinkId, reason: string }
-
-/** One process's links with its events; `next` waits for the next event of a kind. */
-const peer = (name: string, { key = KEY, limits = {}, hello = {} }: {
-  key?: string, limits?: Partial<link.Limits>, hello?: Partial<messages.Hello>
-} = {}) => {
-  const events: Event[] = []
-  const lines: string[] = []
-  const waiting: (() => void)[] = []
-  const add = (event: Event): void => {
-    events.push(event)
-    waiting.splice(0).forEach((resume) => resume())
-  }
-  const write = (event: string, fields: Record<string, log.Field> = {}): void => {
-    lines.push(`${event} ${Object.entries(fields).map(([field, value]) => `${field}=${value}`).join(' ')}`)
-    waiting.splice(0).forEach((resume) => resume())
-  }
-  const logger: log.Log = { debug: write, info: write, warn: write, error: write, with: () => logger }
-  const until = async <Value>(find: () => Value | undefined): Promise<Value> => {
-    for (;;) {
-      const value = find()
-      if (value !== undefined) return value
-      await new Promise<void>((resolve) => waiting.push(resolve))
-    }
-  }
-  let taken = 0
-  const links = link.create({
-    key,
-    hello: () => ({
-      kind: 'hello',
-      version: 1,
-      role: 'entry',
-      name,
-      incarnation: `${name}-incarnation` as types.Incarnation,
-      failureDomain: 'waco-floor' as types.FailureDomainName,
-      registered: false,
-      slots: 0,
-      resources: { cores: 1, memoryMb: 1, accelerators: 0 },
-      configuration: 0,
-      ...hello
-    }),
-    heartbeat: () => ({ kind: 'heartbeat', configuration: 0 }),
-    handler: {
-      up: (id, greeting) => add({ kind: 'up', link: id, hello: greeting }),
-      message: (id, message) => add({ kind: 'message', link: id, message }),
-      down: (id, reason) => add({ kind: 'down', link: id, reason })
-    },
-    log: logger,
-    timers: clock.createSystem(),
-    random: random.create(1),
-    limits
-  })
-  return {
-    links,
-    events,
-    lines,
-    next: <Kind extends Event['kind']>(kind: Kind): Promise<Extract<Event, { kind: Kind }>> => until(() => {
-      for (; taken < events.length; taken++) {
-        const event = events[taken]!
-        if (event.kind === kind) {
-          taken++
-          return event as Extract<Event, { kind: Kind }>
-        }
-      }
-      return undefined
-    }),
-    line: (pattern: RegExp): Promise<string> => until(() => lines.find((line) => pattern.test(line)))
-  }
-}
-
-type Peer = ReturnType<typeof peer>
+import * as handshake from './handshake.ts'
+import * as peers from './testing/peers.ts'
 
 describe('links', () => {
-  let peers: Peer[] = []
-  const start = (...settings: Parameters<typeof peer>): Peer => {
-    const created = peer(...settings)
-    peers.push(created)
+  let all: peers.Peer[] = []
+  const start = (...settings: Parameters<typeof peers.create>): peers.Peer => {
+    const created = peers.create(...settings)
+    all.push(created)
     return created
   }
+  const listen = (peer: peers.Peer): Promise<string> => peer.links.listen(peers.LOCALHOST, 0)
+  const connect = async (from: peers.Peer, to: peers.Peer) => {
+    from.links.dial(await listen(to))
+    const [dialer, acceptor] = await Promise.all([from.next('up'), to.next('up')])
+    return { dialer, acceptor }
+  }
   afterEach(async () => {
-    await Promise.all(peers.map(({ links }) => links.stop()))
-    peers = []
+    await Promise.all(all.map(({ links }) => links.stop()))
+    all = []
   })
 
   it('exchanges hello and passes messages in order, batched in one frame', async () => {
     const entry = start('entry')
     const agent = start('agent')
-    agent.links.dial(await entry.links.listen(LOCALHOST, 0))
-    const [atEntry, atAgent] = await Promise.all([entry.next('up'), agent.next('up')])
-    expect(atEntry.hello.name).to.equal('agent')
-    expect(atAgent.hello.name).to.equal('entry')
+    const { dialer, acceptor } = await connect(agent, entry)
+    expect(acceptor.hello.name).to.equal('agent')
+    expect(dialer.hello.name).to.equal('entry')
     const framesBefore = agent.links.counts().sent.frames
-    for (let slots = 0; slots < 100; slots++) agent.links.send(atAgent.link, { kind: 'grant', slots })
+    for (let slots = 0; slots < 100; slots++) agent.links.send(dialer.link, { kind: 'grant', slots })
     for (let slots = 0; slots < 100; slots++) {
       expect((await entry.next('message')).message).to.deep.equal({ kind: 'grant', slots })
     }
@@ -113,13 +36,89 @@
     expect(entry.links.counts().received.bytes).to.equal(agent.links.counts().sent.bytes)
   })
 
+  it('splits a batch above the size limit, in order', async () => {
+    const limits = { maxFrameBytes: 2000 }
+    const entry = start('entry', { limits })
+    const agent = start('agent', { limits })
+    const { dialer } = await connect(agent, entry)
+    const text = 'x'.repeat(300)
+    for (let version = 0; version < 50; version++) {
+      agent.links.send(dialer.link, { kind: 'configuration-set', version, digest: 'digest', content: text })
+    }
+    for (let version = 0; version < 50; version++) {
+      expect((await entry.next('message')).message).to.include({ version })
+    }
+  })
+
   // A process with another key must get neither a link nor messages, and the operator must see why.
-  it('refuses a peer with another key', async () => {
+  it('refuses a peer with another key, in both directions', async () => {
     const entry = start('entry')
     const agent = start('agent', { key: 'another key of the tests' })
-    agent.links.dial(await entry.links.listen(LOCALHOST, 0))
+    agent.links.dial(await listen(entry))
     expect(await entry.line(/link-failed/)).to.include('reason=wrong key')
     expect(await agent.line(/link-failed/)).to.include('by=peer reason=wrong key')
     expect([...entry.events, ...agent.events]).to.deep.equal([])
   })
+
+  // Someone who only listens to the wire must not learn the key, and must not get in with what it heard.
+  it('never sends the key, and accepts no proof of an earlier or reversed handshake', async () => {
+    const entry = start('entry')
+    const address = await listen(entry)
+    const heard = await peers.dialRaw(address)
+    const challenge = handshake.parseChallenge(await heard.next())!
+    const nonce = handshake.nonce()
+    const proof = handshake.prove(peers.KEY, 'dialer', nonce, challenge.nonce)
+    heard.send({ kind: 'response', nonce, proof })
+    const confirmation = await heard.next()
+    expect(confirmation.includes(peers.KEY)).to.equal(false)
+    heard.socket.close()
+
+    const replayed = await peers.dialRaw(address)
+    await replayed.next()
+    replayed.send({ kind: 'response', nonce, proof })
+    expect((await replayed.closed).reason).to.equal('wrong key')
+
+    const reflected = await peers.dialRaw(address)
+    const { nonce: acceptorNonce } = handshake.parseChallenge(await reflected.next())!
+    const reversed = handshake.prove(peers.KEY, 'acceptor', nonce, acceptorNonce)
+    reflected.send({ kind: 'response', nonce, proof: reversed })
+    expect((await reflected.closed).reason).to.equal('wrong key')
+  })
+
+  // A dialer must not talk to whoever happens to listen on an entry's address.
+  it('refuses an acceptor that cannot prove the key', async () => {
+    const agent = start('agent')
+    const impostor = start('impostor', { key: 'another key of the tests' })
+    agent.links.dial(await listen(impostor))
+    await agent.line(/link-failed/)
+    expect(agent.links.counts().sent.messages.get('hello'), 'hello goes to authenticated peers only').to.equal(undefined)
+  })
+
+  it('delivers what was queued before a stop, and one end of the link', async () => {
+    const entry = start('entry')
+    const agent = start('agent')
+    const { dialer } = await connect(agent, entry)
+    for (let slots = 0; slots < 10; slots++) agent.links.send(dialer.link, { kind: 'grant', slots })
+    await agent.links.stop()
+    expect((await entry.next('down')).reason).to.equal('by peer: stopping')
+    expect(entry.events.map(({ kind }) => kind)).to.deep.equal(['up', ...Array(10).fill('message'), 'down'])
+    expect(agent.events.map(({ kind }) => kind)).to.deep.equal(['up', 'down'])
+  })
+
+  // Decision code applies the effects of one event before it gets the next one.
+  it('reports the end of a link that a handler closes after the handler has returned, and no message after it', async () => {
+    const entry = start('entry')
+    const agent = start('agent')
+    const { dialer, acceptor } = await connect(agent, entry)
+    for (let slots = 0; slots < 3; slots++) agent.links.send(dialer.link, { kind: 'grant', slots })
+    entry.onMessage(() => {
+      entry.links.send(acceptor.link, { kind: 'recall', slots: 9 })
+      entry.links.close(acceptor.link, 'enough')
+      expect(entry.events.at(-1)!.kind).to.equal('message')
+    })
+    await entry.next('down')
+    expect(entry.events.map(({ kind }) => kind)).to.deep.equal(['up', 'message', 'down'])
+    expect((await agent.next('message')).message).to.deep.equal({ kind: 'recall', slots: 9 })
+    expect((await agent.next('down')).reason).to.equal('by peer: enough')
+  })
 })
--- a/packages/link/src/links.ts
+++ b/packages/link/src/links.ts
@@ -158,11 +158,11 @@
     dial.dormant = isLinked(dial.address)
     if (dial.dormant) return
     const socket = new ws.WebSocket(`ws://${dial.address}`, socketOptions)
-    dial.session = add('dialer', dial.address, socket)
+    dial.session = add('dialer', { socket, address: dial.address })
   }
-  const add = (side: sessions.Side, address: string, socket: ws.WebSocket): sessions.Session => {
-    const session = sessions.create(nextId++ as types.LinkId, side, address, socket, context, observer)
-    open.set(session, socket)
+  const add = (side: sessions.Side, transport: sessions.Transport): sessions.Session => {
+    const session = sessions.create(nextId++ as types.LinkId, side, transport, context, observer)
+    open.set(session, transport.socket)
     return session
   }
 
@@ -173,7 +173,8 @@
     server.on('connection', (socket, request) => {
       if (stopping || open.size - up.size >= MAX_HANDSHAKES) return socket.terminate()
       const { remoteAddress, remoteFamily, remotePort } = request.socket
-      add('acceptor', format(remoteAddress, remoteFamily, remotePort), socket)
+      const address = format(remoteAddress, remoteFamily, remotePort)
+      add('acceptor', { socket, address, stream: request.socket })
     })
     const { address, family, port: chosen } = server.address() as net.AddressInfo
     return format(address, family, chosen)
--- a/packages/link/src/session.ts
+++ b/packages/link/src/session.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import * as messages from '@mustarddeck/messages'
 import type * as types from '@mustarddeck/types'
+import type * as net from 'node:net'
 import type * as ws from 'ws'
 import * as codec from './codec.ts'
 import * as handshake from './handshake.ts'
@@ -66,6 +67,16 @@
   replace (reason: string): void
 }
 
+/** Both ends of the transport of a session. `stream` is given where the peer is not trusted yet. */
+export interface Transport {
+  socket: ws.WebSocket
+  address: string
+  stream?: net.Socket
+}
+
+/** Bytes of the upgrade request and the handshake; an unknown peer cannot make this side buffer more. */
+const MAX_HANDSHAKE_STREAM_BYTES = 16_384
+
 /** Codes of the WebSocket protocol (RFC 6455, 7.4); 4000 and above are private. */
 const CODE = { normal: 1000, refused: 4000, fault: 4001 } as const
 const MAX_REASON_LENGTH = 120
@@ -73,7 +84,7 @@
 type Expected = 'challenge' | 'response' | 'confirmation' | 'hello' | 'messages' | 'nothing'
 
 export const create = (
-  id: types.LinkId, side: Side, address: string, socket: ws.WebSocket, context: Context, observer: Observer
+  id: types.LinkId, side: Side, { socket, address, stream }: Transport, context: Context, observer: Observer
 ): Session => {
   const { limits, timers } = context
   const ownNonce = handshake.nonce()
@@ -91,6 +102,7 @@
     expected = 'nothing'
     queue = []
     cancelTimer()
+    stream?.off('data', limitHandshake)
     observer.ended(session, { wasUp: peer !== undefined, by, reason, fault })
   }
   /** Ends at once and tells the peer why; what the peer still sends is ignored. */
@@ -105,6 +117,10 @@
     end('self', reason, true)
   }
 
+  const limitHandshake = (): void => {
+    if (stream && stream.bytesRead > MAX_HANDSHAKE_STREAM_BYTES) abandon('handshake above the size limit')
+  }
+
   const write = (frame: Buffer): void => {
     context.sent.frames++
     context.sent.bytes += frame.length
@@ -184,6 +200,7 @@
     if (side === 'acceptor') sendHello()
     peer = hello
     expected = 'messages'
+    stream?.off('data', limitHandshake)
     heartbeatAt = timers.monotonic() + limits.heartbeatMs
     wait()
     observer.up(session, hello)
@@ -238,6 +255,7 @@
     end('self', error.message, error.code?.startsWith('WS_ERR') ?? false))
   socket.on('close', (code, reason) =>
     end('peer', reason.toString() || `connection closed (${code})`, code === CODE.fault))
+  stream?.on('data', limitHandshake)
   if (side === 'acceptor') {
     write(codec.pack({ kind: 'challenge', version: messages.PROTOCOL_VERSION, nonce: ownNonce }))
   }
