--- a/packages/link/src/links.test.ts
+++ b/packages/link/src/links.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import * as messages from '@mustarddeck/messages'
 import * as handshake from './handshake.ts'
 import * as peers from './testing/peers.ts'
 
@@ -86,12 +87,22 @@
   })
 
   // A dialer must not talk to whoever happens to listen on an entry's address.
-  it('refuses an acceptor that cannot prove the key', async () => {
-    const agent = start('agent')
-    const impostor = start('impostor', { key: 'another key of the tests' })
-    agent.links.dial(await listen(impostor))
-    await agent.line(/link-failed/)
-    expect(agent.links.counts().sent.messages.get('hello'), 'hello goes to authenticated peers only').to.equal(undefined)
+  it('refuses an acceptor without the key or of another version before it says hello', async () => {
+    const nonce = handshake.nonce()
+    const challenge = { kind: 'challenge', version: messages.PROTOCOL_VERSION, nonce }
+    const cases: [answers: unknown[], reason: string][] = [
+      [[challenge, { kind: 'confirmation', proof: nonce }], 'wrong key'],
+      [[challenge, { kind: 'confirmation', proof: Buffer.alloc(0) }], 'malformed frame'],
+      [[{ ...challenge, version: 99 }], 'protocol version 99']
+    ]
+    for (const [answers, reason] of cases) {
+      const agent = start('agent')
+      const impostor = await peers.acceptRaw([...answers])
+      agent.links.dial(impostor.address)
+      expect(await impostor.closed).to.equal(reason)
+      expect(impostor.received).to.have.length(answers.length - 1)
+      expect(agent.links.counts().sent.messages.size).to.equal(0)
+    }
   })
 
   it('delivers what was queued before a stop, and one end of the link', async () => {
--- a/packages/link/src/testing/peers.ts
+++ b/packages/link/src/testing/peers.ts
@@ -4,6 +4,7 @@
 import * as random from '@mustarddeck/random'
 import type * as types from '@mustarddeck/types'
 import { once } from 'node:events'
+import type * as net from 'node:net'
 import * as ws from 'ws'
 import * as codec from '../codec.ts'
 import * as handshake from '../handshake.ts'
@@ -105,6 +106,28 @@
 
 export type Peer = ReturnType<typeof create>
 
+/** Accepts one connection and answers each frame by the next of the given values; gives how the dialer closed it. */
+export const acceptRaw = async (answers: unknown[]) => {
+  const server = new ws.WebSocketServer({ host: LOCALHOST, port: 0 })
+  await once(server, 'listening')
+  const received: Buffer[] = []
+  const closed = once(server, 'connection').then(async ([connection]) => {
+    const socket = connection as ws.WebSocket
+    const send = (): void => {
+      if (answers.length > 0) socket.send(codec.pack(answers.shift()))
+    }
+    socket.on('message', (data) => {
+      received.push(data as Buffer)
+      send()
+    })
+    send()
+    const [, reason] = await once(socket, 'close')
+    server.close()
+    return String(reason)
+  })
+  return { address: `${LOCALHOST}:${(server.address() as net.AddressInfo).port}`, received, closed }
+}
+
 /** A dialer that holds the key and can send any bytes. */
 export const dialRaw = async (address: string) => {
   const socket = new ws.WebSocket(`ws://${address}`, { perMessageDeflate: false })
