Let operators drain a linked process

An operator reaches only entries over HTTP, so an entry passes the request on to the named agent or entry over its link. A drain that has not ended after the time limit of its policy is reported in the log.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -24,6 +24,8 @@
   log: log.Log
   timers: clock.Timers
   random: random.Random
+  /** An operator asks for a graceful stop, for which the owner of the agent calls `stop`. */
+  onDrain? (): void
 }
 
 export const create = (parts: Settings): Agent => {
@@ -34,7 +36,17 @@
   let onStopped: () => void = () => {}
 
   const count = counts.create(() => life.status())
-  const lifeParts: lives.Parts = { ...parts, calls: calls.create(settings.backend, timers), onExecuted: count.ended }
+  let drainRequested = false
+  const drain = (timeLimitMs: number): void => {
+    if (drainRequested) return
+    drainRequested = true
+    logger.info('drain', { timeLimitMs })
+    timers.after(timeLimitMs, () => logger.warn('drain-overdue', { running: life.status().running }))
+    parts.onDrain?.()
+  }
+  const lifeParts: lives.Parts = {
+    ...parts, calls: calls.create(settings.backend, timers), onExecuted: count.ended, onDrain: drain
+  }
 
   /** An incarnation that was removed from its row ends, and the process goes on under a new one. */
   const renew = async (): Promise<void> => {
--- a/packages/agent/src/life.ts
+++ b/packages/agent/src/life.ts
@@ -37,6 +37,8 @@
   log: log.Log
   timers: clock.Timers
   random: random.Random
+  /** An operator asks the agent to stop gracefully. */
+  onDrain (timeLimitMs: number): void
   /** Called for every end of a task. */
   onExecuted (execution: agentCore.Execution): void
 }
@@ -116,7 +118,9 @@
     heartbeat: () => ({ kind: 'heartbeat', configuration: 0 }),
     handler: {
       up: (id, hello) => feed({ kind: 'link-up', link: id, hello }),
-      message: (id, message) => feed({ kind: 'message', link: id, message }),
+      message: (id, message) => message.kind === 'drain'
+        ? parts.onDrain(message.timeLimitMs)
+        : feed({ kind: 'message', link: id, message }),
       down: (id) => feed({ kind: 'link-down', link: id })
     },
     log: logger,
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -11,6 +11,8 @@
   /** Host and port of `/live`, `/ready` and `/metrics`. */
   address: string
   stop (): Promise<void>
+  /** Settles when the agent has stopped, also after a drain by an operator. */
+  ended: Promise<void>
 }
 
 const MAX_SEED = 0x7fffffff
@@ -27,14 +29,21 @@
       level: loaded.log.level, fields: { role: 'agent', name: loaded.worker }, secrets: [loaded.links.key]
     }),
     timers,
-    random: generator
+    random: generator,
+    onDrain: () => { stop() }
   })
-  const address = await agent.start()
-  return {
-    address,
-    stop: async () => {
-      await agent.stop()
-      store.close()
-    }
+  let stopping: Promise<void> | undefined
+  let resolveEnded = (): void => {}
+  const ended = new Promise<void>((resolve) => { resolveEnded = resolve })
+  const end = async (): Promise<void> => {
+    await agent.stop()
+    store.close()
+    resolveEnded()
+  }
+  const stop = (): Promise<void> => {
+    stopping ??= end()
+    return stopping
   }
+  const address = await agent.start()
+  return { address, stop, ended }
 }
--- a/packages/entry/src/http/invalid.ts
+++ b/packages/entry/src/http/invalid.ts
@@ -18,6 +18,7 @@
   | 'not-found'
   | 'method-not-allowed'
   | 'unknown-target'
+  | 'unknown-policy'
 
 /** `path` is a JSON pointer into the body. */
 export interface Problem {
@@ -51,6 +52,7 @@
   unauthorized: 401,
   'not-found': 404,
   'unknown-target': 404,
+  'unknown-policy': 404,
   'method-not-allowed': 405,
   'request-timeout': 408,
   'body-too-large': 413,
--- a/packages/entry/src/http/operator.ts
+++ b/packages/entry/src/http/operator.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto'
 import type * as koa from 'koa'
 import type Router from '@koa/router'
+import type * as drains from '../drain.ts'
 import type * as status from '../status.ts'
 import * as invalid from './invalid.ts'
 import * as reply from './reply.ts'
@@ -22,10 +23,14 @@
   /** Without a token the operator API refuses every request. */
   token: string | undefined
   status: () => status.Status
-  /** Starts a graceful stop of the named process; false if it is not known here. */
-  drain: (target: string, policy?: string) => boolean
+  drain: drains.Drain
 }
 
+const explain = (failure: drains.Failure, target: string, policy = ''): invalid.Invalid =>
+  failure === 'unknown-policy'
+    ? invalid.create('unknown-policy', `there is no drain policy ${invalid.quote(policy)}`)
+    : invalid.create('unknown-target', `${invalid.quote(target)} is neither this entry nor linked to it`)
+
 /** Routes of operators. */
 export const register = (router: Router, parts: Parts): void => {
   const guard = authorized(parts.token)
@@ -36,9 +41,8 @@
     const checked = validate.drain(context.request.body)
     if (checked.kind === 'error') return reply.refuse(context, checked.error)
     const { target, policy } = checked.value
-    if (!parts.drain(target, policy)) {
-      return reply.refuse(context, invalid.create('unknown-target', `this entry cannot drain ${invalid.quote(target)}`))
-    }
+    const started = parts.drain(target, policy)
+    if (started.kind === 'error') return reply.refuse(context, explain(started.error, target, policy))
     context.status = 202
     context.body = { kind: 'draining', target }
   })
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -7,6 +7,8 @@
   up (link: types.LinkId, hello: messages.Hello): void
   heard (link: types.LinkId, message: messages.Message): void
   down (link: types.LinkId): void
+  /** Link to the process of that name. */
+  linkOf (name: string): types.LinkId | undefined
   isAgent (link: types.LinkId): boolean
   list (role: messages.Hello['role']): status.Peer[]
 }
@@ -24,6 +26,7 @@
       if (message.kind === 'registered') peer.registered = true
     },
     down: (link) => { peers.delete(link) },
+    linkOf: (name) => [...peers].find(([, peer]) => peer.name === name)?.[0],
     isAgent: (link) => peers.get(link)?.role === 'agent',
     list: (role) => [...peers.values()].filter((peer) => peer.role === role)
       .sort((one, other) => one.name.localeCompare(other.name))
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -9,6 +9,7 @@
 import type * as messages from '@mustarddeck/messages'
 import type * as settings from '@mustarddeck/settings'
 import type * as types from '@mustarddeck/types'
+import * as drain from './drain.ts'
 import * as drivers from './driver.ts'
 import * as idSource from './id-source.ts'
 import * as idempotency from './idempotency.ts'
@@ -105,6 +106,7 @@
     },
     message: (id, message) => {
       peers.heard(id, message)
+      if (message.kind === 'drain') return drains.begin(message.timeLimitMs)
       driver.input({ kind: 'message', link: id, message })
     },
     down: (id) => {
@@ -150,6 +152,9 @@
       refusals: measured.refusals()
     }
   }
+  const drains = drain.create({
+    name, peers, links, timeLimitOf: () => undefined, stop: () => { stop() }, timers, log
+  })
   const server = servers.create({
     requests,
     keys,
@@ -158,11 +163,7 @@
     operator: {
       token: given.operators?.token,
       status: state,
-      drain: (target) => {
-        if (target !== name) return false
-        stop()
-        return true
-      }
+      drain: drains.drain
     },
     log,
     name,
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -68,7 +68,12 @@
     keys,
     limits: { ...limits.defaults, ...bounds },
     refused: (reason) => { refusals.push(reason) },
-    operator: { token: TOKEN, status: emptyStatus, drain: (target) => target === 'entry-1' },
+    operator: {
+      token: TOKEN,
+      status: emptyStatus,
+      drain: (target) =>
+        target === 'entry-1' ? { kind: 'ok', value: undefined } : { kind: 'error', error: 'unknown-target' }
+    },
     log: silent,
     name: 'entry-1',
     ready: () => ready,
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -6,6 +6,7 @@
 
 const variants = [
   link.Hello, link.Identity, link.Heartbeat, link.ConfigurationRequest, link.ConfigurationSet,
+  link.Drain,
   agent.Start, agent.Rejected, agent.Finished, agent.Grant, agent.Recall, agent.Returned, agent.Demand,
   agent.CancelTasks, agent.Retire, agent.Recover, agent.Resume, agent.Records, agent.Resumed, agent.RecordUpdate,
   agent.Fenced, agent.Registered, agent.Departed, agent.Leaving, agent.LeavingAcknowledged,
--- a/packages/messages/src/link.ts
+++ b/packages/messages/src/link.ts
@@ -49,5 +49,11 @@
   kind: Type.Literal('configuration-set'), version: Count, digest: Name<string>(), content: Type.String()
 })
 
+/**
+ * Entry to any peer: an operator asks the receiver to stop gracefully. The receiver reports when it has not ended after
+ * `timeLimitMs`.
+ */
+export const Drain = Type.Object({ kind: Type.Literal('drain'), timeLimitMs: schema.Duration })
+
 export type Hello = typebox.Static<typeof Hello>
 export type Heartbeat = typebox.Static<typeof Heartbeat>
