Follow the configuration in the entry and publish a sample in local

An entry without rules would refuse every task type for good, so it refuses work without a final word and is not ready until a configuration is in force.

--- a/packages/entry/src/http/answers.ts
+++ b/packages/entry/src/http/answers.ts
@@ -104,4 +104,4 @@
 
 export const Draining = Type.Object({ ...Kind('draining'), target: Name }, closed)
 export const Live = Type.Object(Kind('live'), closed)
-export const Ready = Type.Object({ kind: Words('ready', 'draining') }, closed)
+export const Ready = Type.Object({ kind: Words('ready', 'draining', 'unconfigured') }, closed)
--- a/packages/entry/src/http/jobs.ts
+++ b/packages/entry/src/http/jobs.ts
@@ -14,6 +14,8 @@
   requests: requests.Requests
   keys: idempotency.Keys
   limits: limits.Limits
+  /** False until a configuration is in force; new work waits for that. */
+  configured: () => boolean
   /** Counts refusals by reason. */
   refused: (reason: string) => void
 }
@@ -40,9 +42,11 @@
     reply.outcome(context, outcome, status)
   }
   /** Refuses before anything reaches the decision code; true if it refused. */
-  const full = (context: koa.Context): boolean => {
-    if (parts.requests.open() < limits.maxOpenRequests) return false
-    answer(context, { kind: 'not-run', reason: 'overload', final: false, retryAfterMs: RETRY_AFTER_MS })
+  const refused = (context: koa.Context): boolean => {
+    const isFull = parts.requests.open() >= limits.maxOpenRequests
+    if (!isFull && parts.configured()) return false
+    const reason = isFull ? 'overload' : 'store-unavailable'
+    answer(context, { kind: 'not-run', reason, final: false, retryAfterMs: RETRY_AFTER_MS })
     return true
   }
   const withJob = async (
@@ -70,7 +74,7 @@
     if (key.value !== undefined && submission.value.id !== undefined) {
       return reply.refuse(context, invalid.create('bad-id', 'a submission has an id or an Idempotency-Key, not both'))
     }
-    if (full(context)) return
+    if (refused(context)) return
     const closed = closing(context)
     answer(context, key.value === undefined
       ? await parts.requests.submit(submission.value, waitMs.value, closed)
@@ -86,7 +90,7 @@
   router.post('/v1/id-blocks', async (context) => {
     const checked = validate.reservation(context.request.body)
     if (checked.kind === 'error') return reply.refuse(context, checked.error)
-    if (full(context)) return
+    if (refused(context)) return
     const reserved = await parts.requests.reserve(checked.value.count, closing(context))
     if (reserved?.kind === 'reserved') {
       context.body = { kind: 'reserved', ...reserved.reservation }
--- a/packages/entry/src/http/openapi.ts
+++ b/packages/entry/src/http/openapi.ts
@@ -116,7 +116,7 @@
     get: {
       operationId: 'ready',
       summary: 'The entry takes new work',
-      responses: responses({ 200: ['Yes.', answers.Ready], 503: ['No, it drains.', answers.Ready] })
+      responses: responses({ 200: ['Yes.', answers.Ready], 503: ['No: it drains, or no configuration is in force.', answers.Ready] })
     }
   },
   '/metrics': {
--- a/packages/entry/src/http/server.test.ts
+++ b/packages/entry/src/http/server.test.ts
@@ -207,6 +207,15 @@
     expect(server.refusals).to.deep.equal(['overload'])
   })
 
+  // Without rules the decision code would refuse every task type for good.
+  it('refuses work without a final word until a configuration is in force', async () => {
+    server = await harness.start(complete, { configured: false })
+    const response = await post(server.url, valid())
+    expect(await response.json()).to.include({ kind: 'not-run', reason: 'store-unavailable', final: false })
+    expect((await fetch(`${server.url}/ready`)).status).to.equal(503)
+    expect(server.core.submitted()).to.equal(0)
+  })
+
   it('needs the bearer token for the operator API', async () => {
     server = await harness.start(() => [])
     for (const authorization of ['', 'Bearer', 'Bearer wrong', `Basic ${harness.TOKEN}`]) {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -17,7 +17,7 @@
   log: log.Log
   /** Name of the entry, sent with each response so that a client notices when its connection moves. */
   name: string
-  ready: () => boolean
+  draining: () => boolean
   /** Text in the Prometheus format. */
   metrics: () => Promise<string>
   /** Reports the time in ms of each finished response. */
@@ -51,11 +51,12 @@
   ].join('\r\n'))
 }
 
-const health = (router: Router, { ready, metrics }: Parts): void => {
+const health = (router: Router, { draining, configured, metrics }: Parts): void => {
   router.get('/live', (context) => { context.body = { kind: 'live' } })
   router.get('/ready', (context) => {
-    context.status = ready() ? 200 : 503
-    context.body = { kind: ready() ? 'ready' : 'draining' }
+    const kind = draining() ? 'draining' : configured() ? 'ready' : 'unconfigured'
+    context.status = kind === 'ready' ? 200 : 503
+    context.body = { kind }
   })
   router.get('/metrics', async (context) => {
     context.type = 'text/plain; version=0.0.4; charset=utf-8'
@@ -72,10 +73,10 @@
 }
 
 /** Errors inside the server are logged and answered without detail. */
-const guard = ({ log, name, ready, responded }: Parts): Koa.Middleware => async (context, next) => {
+const guard = ({ log, name, draining, responded }: Parts): Koa.Middleware => async (context, next) => {
   const start = performance.now()
   context.set('mustarddeck-entry', name)
-  if (!ready()) context.set('Connection', 'close')
+  if (draining()) context.set('Connection', 'close')
   context.res.once('finish', () => {
     responded(String(context['routerPath'] ?? 'none'), context.status, performance.now() - start)
   })
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -1,4 +1,6 @@
 import * as clock from '@mustarddeck/clock'
+import * as configurations from '@mustarddeck/configuration'
+import * as declarations from '@mustarddeck/declarations'
 import * as entryCore from '@mustarddeck/entry-core'
 import * as kernels from '@mustarddeck/kernel'
 import * as link from '@mustarddeck/link'
@@ -39,7 +41,6 @@
   address: string
   /** Adds the address of another entry to those that this one keeps a link to. */
   dial (address: string): void
-  configure (rules: types.Rules): void
   status (): status.Status
   /** Finishes jobs and requests in progress and hands outcomes over. A second call waits for the first. */
   stop (): Promise<void>
@@ -81,7 +82,6 @@
   })
   const incarnation = core.status().incarnation
   let address = configuredAddress
-  let configuration = 0
   let ending: Promise<void> | undefined
   let resolveEnded = (): void => {}
   const ended = new Promise<void>((resolve) => { resolveEnded = resolve })
@@ -97,27 +97,31 @@
     registered: false,
     slots: 0,
     resources: { cores: 0, memoryMb: 0, accelerators: 0 },
-    configuration
+    configuration: follower.version()
   })
   const handler: link.Handler = {
     up: (id, peer) => {
       peers.up(id, peer)
+      follower.announced(id, peer.configuration)
       driver.input({ kind: 'link-up', link: id, hello: peer })
     },
     message: (id, message) => {
       peers.heard(id, message)
       if (message.kind === 'drain') return drains.begin(message.timeLimitMs)
+      if (message.kind === 'heartbeat') follower.announced(id, message.configuration)
+      if (follower.message(id, message)) return
       driver.input({ kind: 'message', link: id, message })
     },
     down: (id) => {
       peers.down(id)
+      follower.down(id)
       driver.input({ kind: 'link-down', link: id })
     }
   }
   const links = link.create({
     key: given.links.key,
     hello,
-    heartbeat: (id) => ({ kind: 'heartbeat', configuration, ...peers.isAgent(id) && { waiting: core.demand(id) } }),
+    heartbeat: (id) => ({ kind: 'heartbeat', configuration: follower.version(), ...peers.isAgent(id) && { waiting: core.demand(id) } }),
     handler,
     log,
     timers,
@@ -127,6 +131,14 @@
   const driver: drivers.Driver = drivers.create({
     core, timers, log, links: () => links, requests: () => requests, registry
   })
+  const follower = configurations.createFollower({
+    timers,
+    random,
+    log,
+    store: platform,
+    send: (id, message) => links.send(id, message),
+    adopted: (_, rules) => driver.input({ kind: 'rules', rules })
+  })
   const requests = requestList.create(driver.input)
   const measured = measurements.create({ core, links, requests })
   const keys = idempotency.create({
@@ -141,7 +153,7 @@
       incarnation: owner,
       failureDomain: failureDomain as types.FailureDomainName,
       draining,
-      configuration,
+      configuration: follower.version(),
       openRequests: requests.open(),
       jobs,
       waitingTasks,
@@ -152,8 +164,12 @@
       refusals: measured.refusals()
     }
   }
+  const timeLimitOf = (policy: string): number | undefined => {
+    const set = follower.configuration()?.declarations
+    return set && declarations.resolved(set, 'drain-policy').find((one) => one.name === policy)?.fields.timeLimitMs
+  }
   const drains = drain.create({
-    name, peers, links, timeLimitOf: () => undefined, stop: () => { stop() }, timers, log
+    name, peers, links, timeLimitOf, stop: () => { stop() }, timers, log
   })
   const server = servers.create({
     requests,
@@ -167,7 +183,8 @@
     },
     log,
     name,
-    ready: () => ending === undefined,
+    draining: () => ending !== undefined,
+    configured: () => follower.version() > 0,
     metrics: measured.export,
     responded: measured.responded
   })
@@ -189,6 +206,7 @@
     stop: () => links.stop()
   })
   kernel.register('driver', { stop: () => driver.stop() })
+  kernel.register('configuration', follower)
   kernel.register('membership', pollers.create(timers, MEMBERSHIP_INTERVAL_MS, readMembership))
   kernel.register('keys', pollers.create(timers, SWEEP_INTERVAL_MS, sweep))
   let httpAddress = ''
@@ -217,10 +235,6 @@
     url: `http://${httpAddress}`,
     address,
     dial: (entry) => links.dial(entry),
-    configure: (rules) => {
-      configuration = rules.version
-      driver.input({ kind: 'rules', rules })
-    },
     status: state,
     stop,
     ended
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -47,7 +47,9 @@
 /** Starts the HTTP layer on a free port of the loopback interface around a fake core, for tests. */
 export const start = async (
   answer: (input: core.Input) => core.Effect[],
-  { table = downTable, ...bounds }: Partial<limits.Limits> & { table?: platform.Table } = {}
+  { table = downTable, configured = true, ...bounds }: Partial<limits.Limits> & {
+    table?: platform.Table, configured?: boolean
+  } = {}
 ): Promise<Harness> => {
   const timers = clock.createSystem()
   const core = fakeCore.create(answer)
@@ -62,7 +64,7 @@
   })
   const open = requests.create(run.input)
   const keys = idempotency.create({ table, ids: idSource.create(open.reserve, timers), timers, limitMs: 2000 })
-  let ready = true
+  let draining = false
   const parts: server.Parts = {
     requests: open,
     keys,
@@ -76,7 +78,8 @@
     },
     log: silent,
     name: 'entry-1',
-    ready: () => ready,
+    draining: () => draining,
+    configured: () => configured,
     metrics: async () => '# HELP up 1\n',
     responded: () => {}
   }
@@ -87,7 +90,7 @@
     core,
     refusals,
     routes: server.routes(parts).stack.map(({ methods, path }) => `${methods.at(-1)!.toLowerCase()} ${String(path)}`),
-    drain: () => { ready = false },
+    drain: () => { draining = true },
     stop: () => http.stop()
   }
 }
--- a/packages/mustarddeck/src/deployment.ts
+++ b/packages/mustarddeck/src/deployment.ts
@@ -1,12 +1,11 @@
 import * as crypto from 'node:crypto'
 import * as agents from '@mustarddeck/agent'
 import * as clock from '@mustarddeck/clock'
-import * as declarations from '@mustarddeck/declarations'
 import * as entries from '@mustarddeck/entry'
 import * as errors from '@mustarddeck/errors'
 import * as settings from '@mustarddeck/settings'
 import * as toml from 'smol-toml'
-import type * as samples from './samples.ts'
+import * as samples from './samples.ts'
 import * as standIns from './stand-ins.ts'
 
 const ENTRIES = 2
@@ -81,9 +80,7 @@
     limits: { leaveGraceMs: LEAVE_GRACE_MS },
     log
   }))))
-  const set = declarations.parse(sample.files)
-  errors.invariant(set.kind === 'ok', JSON.stringify(set))
-  for (const entry of startedEntries) entry.configure(declarations.toRules(set.value, 1))
+  await samples.publish(sample, platform.url)
   await ready(startedEntries)
 
   return {
--- a/packages/mustarddeck/src/samples.ts
+++ b/packages/mustarddeck/src/samples.ts
@@ -1,5 +1,12 @@
+import * as crypto from 'node:crypto'
 import * as fs from 'node:fs'
 import * as sea from 'node:sea'
+import * as clock from '@mustarddeck/clock'
+import * as configuration from '@mustarddeck/configuration'
+import * as declarations from '@mustarddeck/declarations'
+import * as errors from '@mustarddeck/errors'
+import * as platform from '@mustarddeck/platform'
+import * as random from '@mustarddeck/random'
 import type * as types from '@mustarddeck/types'
 
 export type SampleName = 'corkbook' | 'benchdesk'
@@ -56,3 +63,17 @@
 }
 
 export const load = (name: SampleName): Sample => ({ name, files: files(name), ...shapes[name] })
+
+/** Publishes the sample's declarations through the platform; rejects if that fails. */
+export const publish = async (sample: Sample, platformUrl: string): Promise<void> => {
+  const set = declarations.parse(sample.files)
+  errors.invariant(set.kind === 'ok', JSON.stringify(set))
+  const store = platform.createClient({ url: platformUrl })
+  const retry = { timers: clock.createSystem(), random: random.create(process.pid) }
+  const publisher = configuration.createPublisher({ ...store, retry })
+  const published = await publisher.publish({
+    declarations: set.value, change: crypto.randomUUID(), operator: 'sample', base: 0
+  })
+  store.close()
+  if (published.kind === 'error') throw new Error(`the sample was not published: ${JSON.stringify(published.error)}`)
+}
