--- a/packages/explore/src/processes.ts
+++ b/packages/explore/src/processes.ts
@@ -52,6 +52,7 @@
   trace (line: () => string): void
 }
 
+const HEARTBEAT_MS = 1000
 const READ_INTERVAL_MS = 1000
 const RETRY_MS = 300
 /** A core that wants this many timers without time passing is in an endless loop. */
@@ -63,6 +64,8 @@
   life: number
   incarnation: types.Incarnation
   core: Core
+  /** Slots wanted from one agent, for the heartbeat to it. */
+  demand? (link: types.LinkId): number[]
   /** The owner incarnation of an entry now. */
   owner? (): types.Incarnation
   hello (): messages.Hello
@@ -74,6 +77,7 @@
   const { core, role, name } = options
   const label = `${name}#${options.life}`
   const offset = random.integer(0, 1_000_000)
+  const up = new Set<types.LinkId>()
   let backlog: Array<() => void> = []
   let alive = true
   let paused = false
@@ -124,9 +128,22 @@
     paused: () => paused,
     receive,
     hello: options.hello,
-    up: (link, hello) => input({ kind: 'link-up', link, hello }),
+    up: (link, hello) => {
+      up.add(link)
+      input({ kind: 'link-up', link, hello })
+    },
     message: (link, message) => input({ kind: 'message', link, message }),
-    down: (link) => input({ kind: 'link-down', link })
+    down: (link) => {
+      up.delete(link)
+      input({ kind: 'link-down', link })
+    }
+  }
+  const beat = (): void => {
+    for (const link of up) {
+      const waiting = options.demand?.(link)
+      around.links.send(host, link, { kind: 'heartbeat', configuration: 1, ...(waiting ? { waiting } : {}) })
+    }
+    timers.after(HEARTBEAT_MS, () => receive(beat))
   }
   const process: Process = {
     name,
@@ -171,6 +188,7 @@
   }
   around.links.add(host)
   arm()
+  timers.after(HEARTBEAT_MS * random.float(), () => receive(beat))
   return process
 }
 
@@ -254,6 +272,7 @@
     incarnation,
     core: core as Core,
     owner: () => core.status().incarnation,
+    demand: core.demand,
     hello: () => ({
       ...commonHello, role: 'entry', name, incarnation, registered: false, slots: 0, resources: ENTRY_RESOURCES
     }),
