--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -11,6 +11,8 @@
   | { kind: 'crash', process: number, silent: boolean, downMs: number }
   | { kind: 'pause', process: number, durationMs: number }
   | { kind: 'partition', a: number, b: number, durationMs: number }
+  /** Bit i of `sides` gives the side of process i; no message passes between the sides. */
+  | { kind: 'split', sides: number, durationMs: number }
   | { kind: 'break', a: number, b: number }
   | { kind: 'slow', a: number, b: number, extraDelayMs: number, durationMs: number }
   | { kind: 'leave', process: number, replaceMs: number }
@@ -67,6 +69,7 @@
   [3, fc.record({ kind: kind('crash'), process: processNumber, silent: fc.boolean(), downMs: durationMs })],
   [3, fc.record({ kind: kind('pause'), process: processNumber, durationMs })],
   [4, fc.record({ kind: kind('partition'), a, b, durationMs })],
+  [2, fc.record({ kind: kind('split'), sides: fc.nat({ max: 31 }), durationMs })],
   [3, fc.record({ kind: kind('break'), a, b })],
   [1, fc.record({ kind: kind('slow'), a, b, extraDelayMs, durationMs })],
   [2, fc.record({ kind: kind('leave'), process: processNumber, replaceMs: durationMs })],
@@ -100,13 +103,49 @@
 const event: fc.Arbitrary<Event> = fc.tuple(fc.nat({ max: LAST_EVENT_MS }), action)
   .map(([at, value]) => ({ at, ...value }))
 
+/** Events around one owner, entry 0, whose jobs others ask for while it is cut off or after its death. */
+const at = (from: number, to: number, value: fc.Arbitrary<Action>): fc.Arbitrary<Event> =>
+  fc.tuple(fc.integer({ min: from, max: to }), value).map(([time, action]) => ({ at: time, ...action }))
+const longMs = fc.integer({ min: 6000, max: 12_000 })
+const ownJob = fc.record({ kind: kind('submit'), runMs, issuer: fc.constant(0), entry: fc.constant(0), waitMs })
+const elsewhere = fc.record({ kind: kind('resubmit', 'resubmit', 'resubmit', 'cancel'), job: number, entry: fc.constant(1) })
+const list = (minLength: number, maxLength: number, value: fc.Arbitrary<Event>): fc.Arbitrary<Event[]> =>
+  fc.array(value, { minLength, maxLength, size: 'max' })
+
+/** An agent is removed while some entries reach it and some do not, and its jobs' owner dies. */
+const removedAgent = fc.tuple(
+  list(1, 3, at(0, 1500, ownJob)),
+  list(1, 3, at(0, 1500, fc.record({
+    kind: kind('partition'), a: fc.nat({ max: 1 }), b: fc.integer({ min: 2, max: 4 }), durationMs: longMs
+  }))),
+  list(0, 1, at(4000, 13_000, fc.record({
+    kind: kind('crash'), process: fc.constant(0), silent: fc.boolean(), downMs: longMs
+  }))),
+  list(1, 5, at(2000, 14_000, elsewhere)),
+  list(0, 4, at(0, 14_000, action)))
+
+/** The owner is cut off from the other entry and from some agents, while agents join and leave. */
+const isolatedOwner = fc.tuple(
+  list(1, 4, at(0, 4000, ownJob)),
+  list(1, 1, at(0, 1500, fc.record({
+    kind: kind('split'), sides: fc.constantFrom(1, 1, 3, 5, 9, 13), durationMs: longMs
+  }))),
+  list(0, 2, at(0, 8000, fc.record({ kind: kind('join'), role: kind('agent') }))),
+  list(1, 5, at(500, 12_000, elsewhere)),
+  list(0, 4, at(0, 12_000, action)))
+
+const anything = fc.array(event, { minLength: 1, maxLength: MAX_EVENTS, size: 'max' })
+
 export const schedule: fc.Arbitrary<Schedule> = fc.record({
   seed: fc.integer({ min: 1, max: 0x7fffffff }),
   profile,
   storeDownMs: fc.oneof(
     { weight: 6, arbitrary: fc.constant(0) },
     { weight: 1, arbitrary: fc.integer({ min: 1, max: 9000 }) }),
-  events: fc.array(event, { minLength: 1, maxLength: MAX_EVENTS, size: 'max' })
+  events: fc.oneof(
+    { weight: 6, arbitrary: anything },
+    { weight: 1, arbitrary: removedAgent.map((lists) => lists.flat()) },
+    { weight: 1, arbitrary: isolatedOwner.map((lists) => lists.flat()) })
 })
 
 /** Work without any fault: every job is submitted before any is submitted again, and callers wait for the outcome. */
--- a/packages/explore/src/mutants.ts
+++ b/packages/explore/src/mutants.ts
@@ -44,17 +44,6 @@
   }
 })
 
-/** Makes the call in spite of a rejection for this reason. */
-const startsAnyway = (reason: messages.RejectionReason) => wrapAgent((handle) => (input, now) => {
-  const effects = handle(input, now)
-  if (input.kind !== 'message' || input.message.kind !== 'start') return effects
-  const start = input.message
-  return effects.map((effect) => effect.kind === 'send' && effect.message.kind === 'rejected' &&
-    effect.message.reason === reason
-    ? { kind: 'execute', start }
-    : effect)
-})
-
 /** Leaves some tasks out of the records that the agent gives. */
 const hidesRecords = (isHidden: (task: messages.TaskRecord) => boolean) => wrapAgent((handle) => (input, now) =>
   handle(input, now).map((effect) => {
@@ -120,17 +109,35 @@
   return effects
 })
 
+const JOURNAL = 'journal/src/index.ts'
+
 export const mutants: Mutant[] = [
-  { name: 'the agent does not check start records', by: 'foreign messages', wrap: startsAnyway('duplicate') },
+  {
+    name: 'the agent does not check start records',
+    by: 'foreign messages',
+    source: {
+      file: JOURNAL,
+      find: "if (owner?.blocks.get(id.block)?.get(start.job)?.tasks.has(start.index)) return reject('duplicate')",
+      replace: ''
+    }
+  },
   { name: 'a start is recorded after the call', by: 'schedules', wrap: hidesRecords((task) => !task.outcome) },
   { name: 'one acknowledgement of a fence is not awaited', by: 'schedules', wrap: skipsOneAcknowledgement },
-  { name: 'the agent forgets a fence', by: 'schedules', wrap: startsAnyway('fenced') },
+  {
+    name: 'the agent forgets a fence',
+    by: 'schedules',
+    source: { file: JOURNAL, find: "if (owner?.fenced) return reject('fenced')", replace: '' }
+  },
   {
     name: 'a registering agent ignores the fences that it read',
     by: 'schedules',
     wrap: wrapAgent((handle) => (input, now) => handle(input.kind === 'registered' ? { ...input, fences: [] } : input, now))
   },
-  { name: 'a retired block is accepted', by: 'foreign messages', wrap: startsAnyway('retired') },
+  {
+    name: 'a retired block is accepted',
+    by: 'foreign messages',
+    source: { file: JOURNAL, find: "if (owner && id.block <= owner.retired) return reject('retired')", replace: '' }
+  },
   {
     name: 'records are dropped before their block retires',
     by: 'schedules',
--- a/packages/explore/src/run.ts
+++ b/packages/explore/src/run.ts
@@ -240,6 +240,14 @@
         timers.after(event.durationMs, () => net.heal(a, b))
         break
       }
+      case 'split': {
+        const names = [...current.keys()]
+        const pairs = names.flatMap((a, i) => names.slice(0, i).map((b, j) => ({ a, b, i, j })))
+          .filter(({ i, j }) => (event.sides >> i & 1) !== (event.sides >> j & 1))
+        for (const { a, b } of pairs) net.partition(a, b)
+        timers.after(event.durationMs, () => { for (const { a, b } of pairs) net.heal(a, b) })
+        break
+      }
       case 'break': net.breakLink(chosen(event.a).name, chosen(event.b).name); break
       case 'slow': {
         const [a, b] = [chosen(event.a).name, chosen(event.b).name]
