Give up a lost agent's tasks only by the membership, and claim nothing after a fence

Cause: an owner that is cut off answered failed, with tasks that may have run, as soon as a later incarnation of the worker appeared. Another entry may have fenced the owner before that and answered not-run or complete from the records of the agent that is now gone.

An owner now gives up the tasks of a registered agent only when the membership shows its departure. It learns its own fences from the same read first: if it is not fenced there, the agent departed before any fence, so the recovery does not count its records. If it is fenced, or if the agent had never registered, a job with a lost task ends as expired, which claims nothing.

The recovery in turn settles a job only from records of agents that were members after the fence. It waits for the first result of the fence transaction; while the store is down, full records still settle a job.

--- a/packages/entry-core/src/agent-links.ts
+++ b/packages/entry-core/src/agent-links.ts
@@ -59,9 +59,9 @@
     placement.workerDown(agent.link, context.now())
     context.send(agent.link, { kind: 'departed', incarnation: agent.incarnation })
   }
-  const lose = (absent: agentPeers.AbsentAgent): void => {
+  const lose = (absent: agentPeers.AbsentAgent, hasDeparted: boolean): void => {
     agents.forget(absent.incarnation)
-    owned.agentLost(absent.incarnation)
+    owned.agentLost(absent.incarnation, hasDeparted)
   }
   const dropLink = (link: types.LinkId): void => {
     const agent = agents.down(link, context.now())
@@ -71,15 +71,14 @@
     recovery.agentDown(link)
     owned.agentDown(agent)
     const absent = agents.absentOf(agent.incarnation)!
-    if (memberships.hasDeparted(agent.incarnation) || [...agents.all()].some((other) => isLater(other, absent))) {
-      lose(absent)
-    }
+    if (memberships.hasDeparted(agent.incarnation)) lose(absent, true)
+    else if ([...agents.all()].some((other) => isLater(other, absent))) lose(absent, false)
   }
-  /** A later incarnation of a worker shows that the earlier one is gone. */
-  const isLater = (agent: agentPeers.AgentPeer, { worker, order }: agentPeers.AbsentAgent): boolean =>
-    agent.worker === worker && agent.order > order
+  /** A later incarnation of a worker shows that an earlier one which never registered is gone. */
+  const isLater = (agent: agentPeers.AgentPeer, { worker, order, registered }: agentPeers.AbsentAgent): boolean =>
+    !registered && agent.worker === worker && agent.order > order
   const loseEarlier = (agent: agentPeers.AgentPeer): void => {
-    for (const absent of agents.absent()) if (isLater(agent, absent)) lose(absent)
+    for (const absent of agents.absent()) if (isLater(agent, absent)) lose(absent, false)
   }
   const replace = (incarnation: types.Incarnation): void => {
     const old = agents.ofProcess(incarnation)
@@ -159,7 +158,7 @@
         if (memberships.hasDeparted(agent.incarnation)) depart(agent)
         else updateEligibility(agent)
       }
-      for (const absent of agents.absent()) if (memberships.hasDeparted(absent.incarnation)) lose(absent)
+      for (const absent of agents.absent()) if (memberships.hasDeparted(absent.incarnation)) lose(absent, true)
     },
     timer: () => {
       for (const absent of agents.absent()) {
--- a/packages/entry-core/src/agents.ts
+++ b/packages/entry-core/src/agents.ts
@@ -23,6 +23,8 @@
   incarnation: types.Incarnation
   failureDomain: types.FailureDomainName
   since: number
+  /** It has registered its membership, so that its departure will show there. */
+  registered: boolean
   order: number
   departureAskedAt?: number
 }
@@ -66,8 +68,8 @@
       const peer = peers.get(link)
       peers.delete(link)
       if (!peer) return undefined
-      const { worker, incarnation, order, hello: { failureDomain } } = peer
-      absent.set(incarnation, { worker, incarnation, failureDomain, order, since: now })
+      const { worker, incarnation, order, registered, hello: { failureDomain } } = peer
+      absent.set(incarnation, { worker, incarnation, failureDomain, order, registered, since: now })
       return peer
     },
     get: (link) => peers.get(link),
--- a/packages/entry-core/src/core.ts
+++ b/packages/entry-core/src/core.ts
@@ -210,6 +210,8 @@
       case 'reserve': return reserve(input.request, input.count)
       case 'abandoned': return waiters.abandon(input.request)
       case 'membership':
+        // A fence that precedes an agent's departure must be known before the agent's tasks are given up.
+        for (const incarnation of input.membership.fences) learnFence(incarnation)
         if (memberships.update(input.membership)) links.membershipChanged()
         return recovery.membership(input.membership, context.now())
       case 'fence-stored':
--- a/packages/entry-core/src/job.ts
+++ b/packages/entry-core/src/job.ts
@@ -35,6 +35,8 @@
   inProgress: number
   ended: number
   stop?: Stop
+  /** Another entry may have concluded from records that are gone now: a lost task allows no claim. */
+  mayBeRecovered?: boolean
 }
 
 export const create = (id: types.JobId, submission: types.Submission): Job => ({
@@ -67,6 +69,7 @@
 /** The final outcome, once no task is in progress and no further one may start. */
 export const conclude = (job: Job): types.Outcome | undefined => {
   if (job.inProgress > 0) return undefined
+  if (job.mayBeRecovered && job.states.some(({ kind }) => kind === 'lost')) return { kind: 'expired', job: job.id }
   if (job.ended === job.states.length) return hasOnlyResults(job) ? complete(job) : failed(job)
   if (!job.stop) return undefined
   return job.ended > 0 ? failed(job) : notRun(job, job.stop)
--- a/packages/entry-core/src/owned-jobs.ts
+++ b/packages/entry-core/src/owned-jobs.ts
@@ -20,8 +20,11 @@
   /** The same agent is linked again: asks for the state of its unresolved tasks. */
   agentUp (agent: agentPeers.AgentPeer): void
   resumed (agent: agentPeers.AgentPeer, asked: types.JobId[], records: messages.JobRecord[]): void
-  /** The agent's incarnation is gone with its records. */
-  agentLost (incarnation: types.Incarnation): void
+  /**
+   * The agent's incarnation is gone with its records. `hasDeparted`: the membership shows it, and whether the owner was
+   * fenced before is known.
+   */
+  agentLost (incarnation: types.Incarnation, hasDeparted: boolean): void
   cancel (job: jobs.Job): void
   fenced (incarnation: types.Incarnation): void
   /** Withdraws jobs that waited too long. */
@@ -220,8 +223,9 @@
         if (job) resolve(agent, job, byId.get(id))
       }
     },
-    agentLost: (incarnation) => {
+    agentLost: (incarnation, hasDeparted) => {
       for (const job of jobsOn(incarnation)) {
+        if (!hasDeparted) job.mayBeRecovered = true
         for (const { index, at } of jobs.inProgress(job)) {
           if (at.agent === incarnation) loseTask(job, index, at)
         }
@@ -236,7 +240,9 @@
     },
     fenced: (incarnation) => {
       for (const job of [...open.values()]) {
-        if (types.parseJobId(job.id)!.incarnation === incarnation) stop(job, 'owner-fenced')
+        if (types.parseJobId(job.id)!.incarnation !== incarnation) continue
+        job.mayBeRecovered = true
+        stop(job, 'owner-fenced')
       }
     },
     expireWaiting: () => {
--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -40,5 +40,20 @@
         { at: 825, kind: 'crash', process: 0, silent: false, downMs: 4500 }
       ]
     }
+  },
+  {
+    cause: 'a fenced owner said failed of a lost task after the recovery had said not-run',
+    schedule: {
+      seed: 1,
+      profile,
+      storeDownMs: 0,
+      events: [
+        { at: 0, kind: 'submit', runMs: [20, 20, 20], issuer: 0, entry: 0, waitMs: 0 },
+        { at: 0, kind: 'split', sides: 1, durationMs: 6000 },
+        { at: 500, kind: 'resubmit', job: 0, entry: 1 },
+        { at: 1943, kind: 'resubmit', job: 0, entry: 1 },
+        { at: 4184, kind: 'crash', process: 3, silent: false, downMs: 4500 }
+      ]
+    }
   }
 ]
--- a/packages/recovery/src/evidence.ts
+++ b/packages/recovery/src/evidence.ts
@@ -1,14 +1,13 @@
 import type * as messages from '@mustarddeck/messages'
 import type * as types from '@mustarddeck/types'
 
-interface RunningTask {
-  kind: 'running'
-  /** The agent that runs the task. */
+interface TaskState {
+  /** The agent that has the record. */
   agent: types.Incarnation
+  /** Absent while the task runs. */
+  outcome?: messages.TaskEnd
 }
 
-type TaskState = messages.TaskEnd | RunningTask
-
 /** What the agents' records say about one job. */
 export interface Evidence {
   /** Replaces what this agent said before; the record is absent if the agent has none. */
@@ -20,13 +19,13 @@
   /** Agents that run a task of the job. */
   runningOn (): types.Incarnation[]
   isEmpty (): boolean
-  /** `complete` or `failed` if records of all tasks show their end. */
-  settled (): types.Outcome | undefined
+  /** `complete` or `failed` if records of all tasks, each of an agent that counts, show their end. */
+  settled (counts: (agent: types.Incarnation) => boolean): types.Outcome | undefined
   /** The outcome when tasks without a record are known to have never started. */
   failed (): types.Outcome
 }
 
-const isRunning = (state: TaskState): state is RunningTask => state.kind === 'running'
+const isRunning = (state: TaskState): boolean => state.outcome === undefined
 
 /** `names` are the task names of the resubmission, if one is at hand. */
 export const create = (job: types.JobId, names: types.TaskName[] | undefined): Evidence => {
@@ -37,13 +36,13 @@
 
   const outcomeOf = (state: TaskState | undefined): types.TaskOutcome => {
     if (!state) return { kind: 'never-started' }
-    return isRunning(state) ? { kind: 'may-have-run' } : state
+    return state.outcome ?? { kind: 'may-have-run' }
   }
   const nameOf = (index: number): types.TaskName =>
     recordedNames.get(index) ?? names?.[index] ?? `#${index}` as types.TaskName
   const reports = (): types.TaskReport[] => Array.from({ length: total ?? 0 }, (_, index) =>
     ({ name: nameOf(index), outcome: outcomeOf(states.get(index)) }))
-  const running = (): RunningTask[] => [...states.values()].filter(isRunning)
+  const running = (): TaskState[] => [...states.values()].filter(isRunning)
 
   const failed = (): types.Outcome => {
     const tasks = reports()
@@ -54,14 +53,14 @@
     kind: 'complete',
     job,
     results: [...states].sort(([a], [b]) => a - b).map(([index, state]) =>
-      ({ name: nameOf(index), result: state.kind === 'finished' ? state.result : undefined }))
+      ({ name: nameOf(index), result: state.outcome?.kind === 'finished' ? state.outcome.result : undefined }))
   })
   const forgetRunning = (agent: types.Incarnation): void => {
     for (const [index, state] of states) if (isRunning(state) && state.agent === agent) states.delete(index)
   }
   const addTask = (agent: types.Incarnation, { index, name, outcome }: messages.TaskRecord): void => {
     recordedNames.set(index, name)
-    if (!states.has(index)) states.set(index, outcome ?? { kind: 'running', agent })
+    if (!states.has(index)) states.set(index, { agent, outcome })
   }
   return {
     add: (agent, record) => {
@@ -72,15 +71,18 @@
       for (const task of record.tasks) addTask(agent, task)
     },
     update: (index, outcome) => {
-      if (outcome) states.set(index, outcome)
+      const state = states.get(index)
+      if (state && outcome) states.set(index, { ...state, outcome })
       else states.delete(index)
     },
     digest: () => digest,
     runningOn: () => running().map(({ agent }) => agent),
     isEmpty: () => states.size === 0,
-    settled: () => {
-      if (total === undefined || states.size < total || running().length > 0) return undefined
-      return [...states.values()].every((state) => state.kind === 'finished') ? complete() : failed()
+    settled: (counts) => {
+      const list = [...states.values()]
+      if (total === undefined || list.length < total || !list.every(({ agent }) => counts(agent))) return undefined
+      if (running().length > 0) return undefined
+      return list.every(({ outcome }) => outcome?.kind === 'finished') ? complete() : failed()
     },
     failed
   }
--- a/packages/recovery/src/owner-case.ts
+++ b/packages/recovery/src/owner-case.ts
@@ -45,9 +45,12 @@
   let fencing = false
   let storing = false
   let storeRetryAt = Infinity
+  let hasStoreFailed = false
   /** The membership that the fence transaction proved to be current. */
   let proven: types.Membership | undefined
   let latest: types.Membership | undefined
+  /** Agents that some read listed together with the fence. */
+  const listedWithFence = new Set<types.Incarnation>()
   let retired = 0
   let dropped = false
   let idleSince = fenceAt
@@ -85,9 +88,21 @@
     return [...awaited, ...job.evidence.runningOn()].every((agent) => !isListed(agent) && !isLinked(agent))
   }
 
+  /** The first attempt to store the fence has no result yet, and there is time to wait for it. */
+  const isStoreAwaited = (job: JobCase, now: number): boolean =>
+    !proven && !hasStoreFailed && now < job.answerBy
+  /**
+   * The agent was a member after the fence. The owner may have given up the tasks of an agent that departed before it,
+   * so that this agent's records must not settle a job.
+   */
+  const isOrWasListed = (agent: types.Incarnation): boolean => {
+    if (!proven) return true
+    return listedWithFence.has(agent) || proven.members.some(({ incarnation }) => incarnation === agent)
+  }
+
   /** The final outcome that follows from what is known, if any does. */
-  const conclude = (name: types.JobId, job: JobCase): types.Outcome | undefined => {
-    const settled = job.evidence.settled()
+  const conclude = (name: types.JobId, job: JobCase, now: number): types.Outcome | undefined => {
+    const settled = isStoreAwaited(job, now) ? undefined : job.evidence.settled(isOrWasListed)
     if (settled) return settled
     if (job.id.block <= retired || waitsOnlyForLostAgents(job)) return { kind: 'expired', job: name }
     if (!isCovered(job) || job.evidence.runningOn().length > 0) return undefined
@@ -105,7 +120,7 @@
 
   const evaluate = (name: types.JobId, job: JobCase, now: number): void => {
     if (!job.wanted) return
-    let outcome = conclude(name, job)
+    let outcome = conclude(name, job, now)
     if (!outcome && now >= job.answerBy && !isInProgress(job)) {
       outcome = { kind: 'unknown', job: name, reason: uncertainty(job), retryAfterMs: settings.retryAfterMs }
     }
@@ -164,10 +179,14 @@
     fenceStored: (membership, now) => {
       storing = false
       proven ??= membership
+      hasStoreFailed ||= !proven
       if (!proven) storeRetryAt = now + STORE_RETRY_MS
       evaluateAll(now)
     },
     membership: (membership, now) => {
+      if (membership.fences.includes(incarnation)) {
+        for (const member of membership.members) listedWithFence.add(member.incarnation)
+      }
       if (latest && membership.departures < latest.departures) return
       latest = membership
       evaluateAll(now)
