--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,6 +4,7 @@
 import * as url from 'node:url'
 import * as esbuild from 'esbuild'
 import * as postject from 'postject'
+import * as bundling from './bundle.ts'
 
 // Builds dist/mustarddeck: one bundle, injected into a copy of the Node executable as a single executable application.
 
@@ -27,21 +28,7 @@
 await esbuild.build({
   entryPoints: [path.join(root, 'packages/mustarddeck/src/main.ts')],
   outfile: bundle,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  minifySyntax: true,
-  legalComments: 'none',
-  logLevel: 'warning',
-  // Modules that look for files beside them look beside the executable.
-  banner: { js: 'const bundleUrl = require(\'node:url\').pathToFileURL(process.execPath).href' },
-  define: {
-    'import.meta.url': 'bundleUrl',
-    // Without these, ws looks for optional native modules, which a bundle cannot hold.
-    'process.env.WS_NO_BUFFER_UTIL': '"1"',
-    'process.env.WS_NO_UTF_8_VALIDATE': '"1"'
-  }
+  ...bundling.options
 })
 const config = path.join(dist, 'sea.json')
 fs.writeFileSync(config, JSON.stringify({
