Transfer polled lists only after a change

Answers now carry an ETag, and the client asks with If-None-Match: ten polls of an unchanged list of 100 KB transfer less than 110 KB instead of 1 MB.

--- a/packages/platform-stand-in/src/routes.ts
+++ b/packages/platform-stand-in/src/routes.ts
@@ -33,6 +33,8 @@
 ): void => {
   if (result.kind === 'ok') {
     context.status = 200
+    // A client may keep the answer, but asks each time whether it is still the same.
+    if (context.method === 'GET') context.set('Cache-Control', 'no-cache')
     accept(result.value)
   } else if (result.error.kind === 'conflict') {
     context.status = 409
--- a/packages/platform-stand-in/src/server.test.ts
+++ b/packages/platform-stand-in/src/server.test.ts
@@ -87,6 +87,32 @@
     }
   })
 
+  // Entries poll lists of up to 250 KB at the target size and may use 25 KB/s.
+  it('transfers a list again only after a change', async () => {
+    await begin()
+    let received = 0
+    const proxy = net.createServer((socket) => {
+      const upstream = net.connect(Number(new URL(server.url).port), '127.0.0.1')
+      upstream.on('data', (data) => { received += data.length })
+      for (const side of [socket, upstream]) side.on('error', () => {})
+      socket.pipe(upstream).pipe(socket)
+    })
+    await new Promise<void>((resolve) => proxy.listen(0, '127.0.0.1', resolve))
+    const other = platform.createClient({ url: `http://127.0.0.1:${(proxy.address() as net.AddressInfo).port}` })
+    const text = 'x'.repeat(100_000)
+    await client.table.transact(write('a', 0, text))
+    for (let read = 0; read < 10; read += 1) {
+      expect(await other.table.list('')).to.deep.equal(errors.ok([{ key: 'a', version: 1, value: text }]))
+    }
+    expect(received).to.be.within(100_000, 110_000)
+    await client.table.transact(write('a', 1, 'y'))
+    expect(await other.table.list('')).to.deep.equal(errors.ok([{ key: 'a', version: 2, value: 'y' }]))
+    server.memory.faults.down = true
+    expect(kindOf(await other.table.list('')), 'a kept answer in place of an error').to.equal('unavailable')
+    other.close()
+    await new Promise((resolve) => proxy.close(resolve))
+  })
+
   it('refuses requests above its rates, which writes nothing', async () => {
     await begin({ writesPerSecond: 5 })
     const begun = performance.now()
--- a/packages/platform-stand-in/src/server.ts
+++ b/packages/platform-stand-in/src/server.ts
@@ -1,10 +1,12 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as bodyparser from '@koa/bodyparser'
+import etag from '@koa/etag'
 import * as router from '@koa/router'
 import type * as clock from '@mustarddeck/clock'
 import * as platform from '@mustarddeck/platform'
 import Koa from 'koa'
+import conditionalGet from 'koa-conditional-get'
 import * as faults from './faults.ts'
 import * as limits from './limits.ts'
 import * as routes from './routes.ts'
@@ -53,6 +55,8 @@
   faults.add(api, memory)
 
   const app = new Koa()
+  app.use(conditionalGet())
+  app.use(etag())
   app.use(bodyparser.bodyParser({ enableTypes: ['json'], jsonLimit: BODY_LIMIT }))
   app.use(api.routes())
   app.use(api.allowedMethods())
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -4,6 +4,7 @@
 import type * as typebox from '@sinclair/typebox'
 import * as value from '@sinclair/typebox/value'
 import { got, type Response } from 'got'
+import * as lru from 'lru-cache'
 import * as classification from './classification.ts'
 import * as protocol from './protocol.ts'
 import * as table from './table.ts'
@@ -11,6 +12,11 @@
 const DEFAULT_CONNECT_LIMIT_MS = 1000
 const DEFAULT_REQUEST_LIMIT_MS = 5000
 const DEFAULT_MAX_CONNECTIONS = 16
+/**
+ * Answers kept by URL, so that a poll transfers a list only after a change. The cache of got is not used, since it adds
+ * a listener per request that it never removes.
+ */
+const MAX_KEPT_ANSWERS = 16
 
 export interface ClientOptions {
   /** Address of the platform's service, such as `http://10.0.0.1:8080`. */
@@ -28,6 +34,9 @@
   close (): void
 }
 
+/** Status and body of an answer. */
+type Answer = Pick<Response<string>, 'statusCode' | 'body'>
+
 interface Call {
   method: 'GET' | 'POST' | 'PUT'
   path: string
@@ -47,7 +56,7 @@
 
 /** Body of the answer if it matches the schema, else undefined. */
 const body = <Schema extends typebox.TSchema>(
-  schema: Schema, response: Response<string>
+  schema: Schema, response: Answer
 ): typebox.Static<Schema> | undefined => {
   const parsed = parse(response.body)
   return value.Value.Check(schema, parsed) ? parsed : undefined
@@ -68,16 +77,28 @@
     }
   })
 
+  const kept = new lru.LRUCache<string, { tag: string, answer: Answer }>({ max: MAX_KEPT_ANSWERS })
+
+  /** Sends a GET request; a kept answer counts if the service says that it is still the same. */
+  const fetch = async (url: URL): Promise<Answer> => {
+    const known = kept.get(url.href)
+    const response = await request(url, { headers: known && { 'if-none-match': known.tag } })
+    if (response.statusCode === 304 && known) return known.answer
+    const answer = { statusCode: response.statusCode, body: response.body }
+    const tag = response.headers.etag
+    if (tag !== undefined && response.statusCode === 200) kept.set(url.href, { tag, answer })
+    return answer
+  }
   /** `accept` returns undefined for an answer that does not follow the protocol. */
   const call = async <Value>(
-    { method, path, query, body }: Call, accept: (response: Response<string>) => StoreResult<Value> | undefined
+    { method, path, query, body }: Call, accept: (response: Answer) => StoreResult<Value> | undefined
   ): Promise<StoreResult<Value>> => {
     const write = method !== 'GET'
     try {
       const url = new URL(path, options.url)
       url.search = new URLSearchParams(query).toString()
-      const response = await request(url, { method, ...body && { json: body } })
-      return accept(response) ?? errors.error(classification.ofAnswer(write, response.statusCode))
+      const answer = write ? await request(url, { method, json: body }) : await fetch(url)
+      return accept(answer) ?? errors.error(classification.ofAnswer(write, answer.statusCode))
     } catch (error) {
       return errors.error(classification.ofException(write, error))
     }
--- a/packages/platform/src/protocol.ts
+++ b/packages/platform/src/protocol.ts
@@ -2,7 +2,10 @@
 
 const Type = typebox.Type
 
-/** Path below the service's address and shape of each request and answer of the platform's HTTP interface. */
+/**
+ * Path below the service's address and shape of each request and answer of the platform's HTTP interface. Answers to
+ * GET carry an `ETag`, and a request with `If-None-Match` is answered with 304 if nothing changed.
+ */
 export const paths = {
   /** GET with query `key`: 200 with a `Row`, 404 with `Missing`. */
   row: '/v1/table/row',
