--- a/packages/mustarddeck/src/commands/configuration/diff.ts
+++ b/packages/mustarddeck/src/commands/configuration/diff.ts
@@ -15,7 +15,7 @@
       code: exitCode.OK,
       lines: [
         ...describe.changes(plan.changes),
-        `${plan.changes.length} objects would change${plan.merged ? ', after a merge with later changes' : ''}`
+        `${plan.changes.length} ${plan.changes.length === 1 ? 'object' : 'objects'} would change${plan.merged ? ', after a merge with later changes' : ''}`
       ],
       json: { ok: true, kind: 'planned', version: plan.version, changes: plan.changes, merged: plan.merged }
     }
--- a/packages/mustarddeck/src/commands/configuration/index.ts
+++ b/packages/mustarddeck/src/commands/configuration/index.ts
@@ -12,6 +12,15 @@
 const DEFAULT_WAIT_LIMIT_MS = 30_000
 const DEFAULT_HISTORY_LIMIT = 20
 
+/** A user id without an account, as containers have, has no name. */
+const userName = (): string => {
+  try {
+    return os.userInfo().username
+  } catch {
+    return 'unknown'
+  }
+}
+
 const checkCommand: command.Command<options.Directory & options.Output> = {
   command: 'check <directory>',
   describe: 'Check declarations without publishing them',
@@ -38,7 +47,7 @@
     operator: {
       type: 'string',
       requiresArg: true,
-      default: os.userInfo().username,
+      default: userName(),
       defaultDescription: 'name of the user',
       describe: 'Who publishes, for the history'
     },
