Test the agent under faults and fix the limit of connections

Such a call is now reported as not started at once, and settings with more slots than connections are refused.

Logs on standard output share one stream, which had added an exit listener per log.

--- a/packages/agent/src/calls.ts
+++ b/packages/agent/src/calls.ts
@@ -14,6 +14,10 @@
 
 export interface Settings {
   url: string
+  /**
+   * Largest number of calls at once. A call above it has not started; it does not wait, since an entry can start the
+   * task elsewhere meanwhile.
+   */
   connections: number
   /** Largest answer of the backend server; a larger one is a failure of the task. */
   maxResultBytes: number
@@ -38,10 +42,19 @@
 
 type Failure = Extract<messages.TaskEnd, { kind: 'failed' }>
 
+/** Undefined for a value that JSON cannot express. */
+const serialize = (payload: unknown): string | undefined => {
+  try {
+    return JSON.stringify(payload) ?? 'null'
+  } catch {
+    return undefined
+  }
+}
+
 export const create = ({ url, connections, maxResultBytes }: Settings, time: clock.Clock): Calls => {
   // Every call has a connection of its own. On a kept connection that the backend server closes at the same moment,
   // nobody could tell whether the task was started.
-  const agent = new http.Agent({ keepAlive: false, maxSockets: connections })
+  const agent = new http.Agent({ keepAlive: false })
   const calls = new Map<string, Call>()
   const keyOf = (job: types.JobId, index: number): string => `${job}/${index}`
 
@@ -110,12 +123,15 @@
 
   return {
     execute: async (start) => {
+      if (calls.size >= connections) return NOT_STARTED
       const key = keyOf(start.job, start.index)
       const call: Call = { controller: new AbortController(), stoppedBy: undefined, connected: false }
       const startedAt = time.monotonic()
+      const body = serialize(start.payload)
+      if (body === undefined) return failed('backend-error', 'the payload has no form in JSON', 0)
       calls.set(key, call)
       try {
-        const answer = await post(start, JSON.stringify(start.payload) ?? 'null', call)
+        const answer = await post(start, body, call)
         return readAnswer(answer, time.monotonic() - startedAt)
       } catch (error) {
         return readError(error, call, time.monotonic() - startedAt)
--- a/packages/agent/src/registration.ts
+++ b/packages/agent/src/registration.ts
@@ -30,6 +30,7 @@
   onDeparted: () => void
 }): Registration => {
   let stopped = false
+  let gaveUp = false
   let wake: () => void = () => {}
   let running: Promise<void> = Promise.resolve()
 
@@ -63,6 +64,7 @@
   const tryDepart = async (): Promise<void> => {
     await running
     for (let attempt = 0; ; attempt++) {
+      if (gaveUp) return
       const result = await registry.depart(member)
       if (result.kind === 'ok') return logger.info('departed')
       logger[attempt === 0 ? 'warn' : 'debug']('departure-failed', { reason: result.error.kind })
@@ -74,7 +76,11 @@
     stop,
     depart: () => new Promise((resolve) => {
       stop()
-      const cancel = timers.after(DEPART_LIMIT_MS, resolve)
+      const cancel = timers.after(DEPART_LIMIT_MS, () => {
+        gaveUp = true
+        wake()
+        resolve()
+      })
       tryDepart().then(() => {
         cancel()
         resolve()
--- a/packages/agent/src/testing/harness.ts
+++ b/packages/agent/src/testing/harness.ts
@@ -87,21 +87,25 @@
     send: (message: messages.Message) => {
       if (current !== undefined) links.send(current, message)
     },
-    /** Waits for the first message of that kind that fits, and takes it out. */
+    /** Waits for the first message of these kinds that fits, and takes it out. */
     next: <Kind extends messages.MessageKind>(
-      kind: Kind, fits: (message: messages.MessageOf<Kind>) => boolean = () => true
+      kinds: Kind | Kind[], fits: (message: messages.MessageOf<Kind>) => boolean = () => true
     ): Promise<messages.MessageOf<Kind>> => until(() => {
-      const place = received.findIndex((message) => message.kind === kind && fits(message as messages.MessageOf<Kind>))
+      const isWanted = (message: messages.Message): boolean =>
+        ([kinds].flat() as string[]).includes(message.kind) && fits(message as messages.MessageOf<Kind>)
+      const place = received.findIndex(isWanted)
       return place >= 0 && received.splice(place, 1)[0] as messages.MessageOf<Kind>
     }),
     stop: links.stop
   }
 }
 
+export const jobId = (view: string, sequence: number): types.JobId => `${OWNER}.${view}.1.${sequence}` as types.JobId
+
 /** A job of one task that may start on any agent. */
 export const start = (sequence: number, change: Partial<messages.Start> = {}): messages.Start => ({
   kind: 'start',
-  job: `${OWNER}.u.1.${sequence}` as types.JobId,
+  job: jobId('u', sequence),
   index: 0,
   attempt: 1,
   total: 1,
@@ -114,13 +118,21 @@
   ...change
 })
 
+export interface Options {
+  /** Faults of the store from the start. */
+  faults?: Partial<platform.Faults>
+}
+
 /** One agent between a backend stand-in, an in-memory platform and one entry, over loopback. */
-export const create = async (text = '') => {
+export const create = async ({ faults }: Options = {}) => {
   const timers = clock.createSystem()
   const server = backend.create({
     settings: load('backend stand-in', 'run = { runMs = 0 }'), timers, random: random.create(seed)
   })
-  const store = platform.createMemory({ timers, seed })
+  const store = platform.createMemory({ timers, seed, faults })
+  const registry = membership.create({
+    table: store.table, retry: { timers, random: random.create(seed), attempts: 3 }
+  })
   const entry = await createEntry(timers)
   const backendAddress = await server.listen()
   const lines: string[] = []
@@ -134,9 +146,8 @@
       platform = { url = "http://127.0.0.1:1" }
       links = { entries = ["${entry.address}"], key = "${KEY}" }
       backend = { url = "http://${backendAddress}/run", maxResultBytes = 100000 }
-      ${text}
     `),
-    registry: membership.create({ table: store.table, retry: { timers, random: random.create(seed), attempts: 3 } }),
+    registry,
     log: log.create({
       level: 'debug',
       destination: {
@@ -154,6 +165,7 @@
     backend: server,
     entry,
     store,
+    registry,
     lines,
     /** Waits for a log line of the agent. */
     line: (pattern: RegExp): Promise<string> => until(() => lines.find((line) => pattern.test(line))),
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -31,14 +31,16 @@
 const CONTROL_CHARACTERS = /[\u0000-\u001f\u007f-\u009f\u2028\u2029]/g
 const escape = (character: string): string => `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`
 
+let output: Destination | undefined
+
 /**
  * Writes whole lines to standard output without waiting for its reader. What is still buffered is written when the
  * process exits; a reader that stops for long loses lines.
  */
 const createOutput = (): Destination => {
-  const output = pino.destination({ dest: 1, sync: false, maxLength: MAX_BUFFERED_BYTES })
-  process.once('exit', () => output.flushSync())
-  return output
+  const stream = pino.destination({ dest: 1, sync: false, maxLength: MAX_BUFFERED_BYTES })
+  process.once('exit', () => stream.flushSync())
+  return stream
 }
 
 /** logfmt leaves control characters as they are; a line feed in a value would forge another line. */
@@ -48,7 +50,7 @@
 
 /** Creates a log on pino whose lines are in logfmt. Everything runs on the calling thread. */
 export const create = (settings: Settings): log.Log => {
-  const destination = settings.destination ?? createOutput()
+  const destination = settings.destination ?? (output ??= createOutput())
   const secrets = (settings.secrets ?? []).filter((secret) => secret !== '')
 
   const format = (json: string): void => {
--- a/packages/settings/src/index.test.ts
+++ b/packages/settings/src/index.test.ts
@@ -66,6 +66,12 @@
     ])
   })
 
+  // A start above the limit of connections would be refused although its slot was granted.
+  it('refuses more slots than connections', () => {
+    const lines = errorsOf('agent', AGENT.replace('slots = 8', 'slots = 65')).map(settings.format)
+    expect(lines).to.deep.equal(['some.toml: slots: 65 is too many; expected at most backend.connections'])
+  })
+
   it('names the place of a syntax error and a file that cannot be read', () => {
     const [error] = errorsOf('agent', 'slots = 8\nworker = waco-1')
     expect(error!.message).to.match(/in line 2, column \d+$/).and.not.to.include('waco-1')
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -47,6 +47,14 @@
   }
 }
 
+/** Conditions that involve several settings; `complete` has passed the schema. */
+const checkTogether = (role: Role, complete: unknown): checks.Problem[] => {
+  if (role !== 'agent') return []
+  const { slots, backend } = complete as schemas.Agent
+  const expected = 'at most backend.connections'
+  return slots > backend.connections ? [{ key: 'slots', message: `${slots} is too many`, expected }] : []
+}
+
 /** Checks the text of a settings file; `file` is named in errors, and paths in the text are relative to it. */
 export const parse = <Of extends Role>(
   role: Of, text: string, file: string
@@ -67,6 +75,7 @@
   const reported = new Set(unreadable.map(({ key }) => key.replace(/File$/, '')))
   const others = checks.check(schema, complete, fileKeys).filter(({ key }) => !reported.has(key))
   const problems = [...unreadable, ...others]
+  if (problems.length === 0) problems.push(...checkTogether(role, complete))
   return problems.length === 0 ? errors.ok(complete as SettingsOf<Of>) : fail(problems)
 }
 
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -77,7 +77,7 @@
   }),
   backend: table({
     url: BackendUrl,
-    /** Connections to the backend server; further calls wait for one. */
+    /** Connections to the backend server at once; at least the number of slots. */
     connections: Positive(64),
     /** Largest answer of the backend server. */
     maxResultBytes: Positive(MEGABYTE)
