Test killed, paused and stopped entries with real processes

Callers resubmit through another entry while one is killed with SIGKILL, paused with SIGSTOP or stopped with SIGTERM in the middle of 80 jobs; the stand-in counts starts by task and by a token of the payload, which shows work that was started twice under two ids. An entry reads the membership as soon as an agent registers: before that, the first block of a fresh entry was of an unregistered view, whose jobs another entry can never settle.

--- a/packages/backend-stand-in/src/behaviour.ts
+++ b/packages/backend-stand-in/src/behaviour.ts
@@ -33,13 +33,16 @@
 
 export const isChange = compiler.TypeCompiler.Compile(Change)
 
-/** A task may choose its own run time and fault in its payload. */
-const Wish = Type.Object({ runMs: Type.Optional(Type.Number({ minimum: 0 })), fault: Type.Optional(Fault) })
+/** A task may choose its own run time and fault in its payload, and a token by which its starts are counted. */
+const Wish = Type.Object({
+  runMs: Type.Optional(Type.Number({ minimum: 0 })), fault: Type.Optional(Fault), token: Type.Optional(Type.String())
+})
 const isWish = compiler.TypeCompiler.Compile(Wish)
 
 export interface Plan {
   fault: Fault
   runMs: number
+  token: string | undefined
 }
 
 const RANDOM_FAULTS = ['fail', 'hang', 'slow', 'refuse', 'close'] as const
@@ -60,5 +63,5 @@
   const drawnFault = drawFault(faults, generator)
   const drawnMs = run.distribution === 'fixed' ? run.runMs : generator.exponential(run.runMs)
   const fault = wish.fault ?? drawnFault
-  return { fault, runMs: (wish.runMs ?? drawnMs) * (fault === 'slow' ? faults.slowFactor : 1) }
+  return { fault, runMs: (wish.runMs ?? drawnMs) * (fault === 'slow' ? faults.slowFactor : 1), token: wish.token }
 }
--- a/packages/backend-stand-in/src/record.ts
+++ b/packages/backend-stand-in/src/record.ts
@@ -6,6 +6,8 @@
   tasks: number
   /** Tasks that were started more than once, with the number of starts. */
   repeated: { task: string, starts: number }[]
+  /** Tokens of payloads that were started more than once, under whatever job id, with the number of starts. */
+  repeatedTokens: { token: string, starts: number }[]
   running: number
   finished: number
   failed: number
@@ -22,8 +24,8 @@
 
 /** Counts starts and ends of tasks. */
 export interface Record {
-  /** `task` identifies the task across attempts. */
-  start (task: string): void
+  /** `task` identifies the task across attempts, `token` the work across job ids. */
+  start (task: string, token?: string): void
   end (end: End): void
   refuse (): void
   reject (): void
@@ -36,6 +38,7 @@
 
 export const create = (): Record => {
   let starts = new Map<string, number>()
+  let tokens = new Map<string, number>()
   let total = 0
   let running = 0
   let refused = 0
@@ -43,8 +46,9 @@
   let ends = { finished: 0, failed: 0, closed: 0, aborted: 0 }
 
   return {
-    start: (task) => {
+    start: (task, token) => {
       starts.set(task, (starts.get(task) ?? 0) + 1)
+      if (token !== undefined) tokens.set(token, (tokens.get(token) ?? 0) + 1)
       total++
       running++
     },
@@ -59,6 +63,7 @@
       starts: total,
       tasks: starts.size,
       repeated: [...starts].filter(([, count]) => count > 1).map(([task, count]) => ({ task, starts: count })),
+      repeatedTokens: [...tokens].filter(([, count]) => count > 1).map(([token, count]) => ({ token, starts: count })),
       running,
       refused,
       invalid,
@@ -66,6 +71,7 @@
     }),
     reset: () => {
       starts = new Map()
+      tokens = new Map()
       total = running
       refused = 0
       invalid = 0
--- a/packages/backend-stand-in/src/stand-in.ts
+++ b/packages/backend-stand-in/src/stand-in.ts
@@ -13,7 +13,7 @@
 /**
  * Stand-in for a backend server.
  *
- * - `POST /run` runs a task. The payload may choose `runMs` and `fault`; the answer repeats the payload.
+ * - `POST /run` runs a task. The payload may choose `runMs`, `fault` and `token`; the answer repeats the payload.
  * - `GET /report` gives the counts, `DELETE /report` resets them.
  * - `GET /starts/:job/:task` gives the number of starts of one task.
  * - `GET /behaviour` and `PATCH /behaviour` read and change run time and faults.
@@ -71,7 +71,7 @@
       context.set('mustarddeck-not-started', 'true')
       return
     }
-    record.start(`${job}/${task}`)
+    record.start(`${job}/${task}`, plan.token)
     const end = await runTask(context, plan)
     if (end === 'aborted') return record.end('aborted')
     if (plan.fault === 'close') {
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -52,6 +52,8 @@
 const DEADLINE_MS = 120_000
 const FIRST_BACKOFF_MS = 20
 const MAX_BACKOFF_MS = 1000
+/** Unknown outcomes of one job after which another entry is asked. */
+const UNKNOWNS_PER_ENTRY = 4
 
 /** The owner of the id takes no new jobs under it; a new id from another block will do. */
 const OWNER_REASONS: ReadonlySet<string> = new Set(['block-closed', 'owner-fenced', 'owner-lost', 'draining'])
@@ -80,7 +82,7 @@
     if (body.kind === 'invalid') return body
     // An outcome of another job is not the answer to this request.
     if (body.job !== undefined && body.job !== job) return undefined
-    if (body.kind === 'unknown' || (body.kind === 'not-run' && !body.final)) entries.leave(address)
+    if (body.kind === 'not-run' && !body.final) entries.leave(address)
     return body
   }
 
@@ -92,6 +94,7 @@
     const end = timers.monotonic() + (options.deadlineMs ?? DEADLINE_MS)
     let id: types.JobId | undefined
     let last: types.Outcome | undefined
+    let unknowns = 0
     for (let failures = 0; ;) {
       const leftMs = end - timers.monotonic()
       if (leftMs <= 0) return errors.error({ kind: 'undecided', job: id, last })
@@ -115,7 +118,11 @@
         id = undefined
         await pause(outcome, failures++)
       } else if (types.isFinal(outcome)) return errors.ok(outcome)
-      else await pause(outcome, failures++)
+      else {
+        // The entry that does not know yet is finding out; another one would begin anew.
+        if (outcome.kind === 'unknown' && ++unknowns % UNKNOWNS_PER_ENTRY === 0) entries.leave(entries.current())
+        await pause(outcome, failures++)
+      }
     }
   }
   const pause = async (outcome: types.Outcome, failures: number): Promise<void> => {
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -102,6 +102,7 @@
   const handler: link.Handler = {
     up: (id, peer) => {
       peers.up(id, peer)
+      if (peer.registered) membership.soon()
       follower.announced(id, peer.configuration)
       driver.input({ kind: 'link-up', link: id, hello: peer })
     },
@@ -110,6 +111,7 @@
       if (message.kind === 'drain') return drains.begin(message.timeLimitMs)
       if (message.kind === 'heartbeat') follower.announced(id, message.configuration)
       if (follower.message(id, message)) return
+      if (message.kind === 'registered') membership.soon()
       driver.input({ kind: 'message', link: id, message })
     },
     down: (id) => {
@@ -194,6 +196,8 @@
     if (read.kind === 'ok') driver.input({ kind: 'membership', membership: read.value })
     else log.warn('membership-not-read', { error: read.error.kind })
   }
+  // An agent counts as registered only once a read lists it, so a new one leads to a read.
+  const membership = pollers.create(timers, MEMBERSHIP_INTERVAL_MS, readMembership)
   const sweep = keySweeper.create({ table: platform.table, time: timers, log })
 
   kernel.register('platform', { stop: () => platform.close() })
@@ -207,7 +211,7 @@
   })
   kernel.register('driver', { stop: () => driver.stop() })
   kernel.register('configuration', follower)
-  kernel.register('membership', pollers.create(timers, MEMBERSHIP_INTERVAL_MS, readMembership))
+  kernel.register('membership', membership)
   kernel.register('keys', pollers.create(timers, SWEEP_INTERVAL_MS, sweep))
   let httpAddress = ''
   kernel.register('http', {
--- /dev/null
+++ b/packages/mustarddeck/src/failures.test.ts
@@ -0,0 +1,147 @@
+import { expect } from 'chai'
+import * as client from '@mustarddeck/client'
+import * as clock from '@mustarddeck/clock'
+import * as random from '@mustarddeck/random'
+import type * as errors from '@mustarddeck/errors'
+import type * as types from '@mustarddeck/types'
+import * as processes from './testing/processes.ts'
+import * as samples from './samples.ts'
+
+const SEED = 20_241_204
+const JOBS = 80
+const MAX_TASKS = 4
+const MAX_RUN_MS = 400
+const DEADLINE_MS = 60_000
+
+type Result = errors.Result<types.Outcome, client.Failure>
+type Entry = Awaited<ReturnType<processes.Deployment['startEntry']>>
+
+interface Payload {
+  token: string
+  runMs: number
+}
+
+interface Submitted {
+  tasks: { name: string, payload: Payload }[]
+  result: Result
+}
+
+describe(`entries that fail in the middle of jobs (seed ${SEED})`, function () {
+  this.timeout(120_000)
+  const generator = random.create(SEED)
+  let deployment: processes.Deployment
+  let entries: Entry[]
+  let backend: string
+  const clients: client.Client[] = []
+  let tokens = 0
+
+  beforeEach(async () => {
+    deployment = processes.deploy()
+    const [platform, shared] = await Promise.all([
+      deployment.startPlatform(), deployment.startBackend(), samples.load('corkbook')
+    ])
+    backend = shared
+    const first = await deployment.startEntry('entry-1', [])
+    const second = await deployment.startEntry('entry-2', [first.address])
+    entries = [first, second]
+    const addresses = entries.map(({ address }) => address)
+    await Promise.all(['worker-1', 'worker-2', 'worker-3'].map((worker) =>
+      deployment.startAgent(worker, addresses, backend)))
+    await samples.publish(samples.load('corkbook'), platform)
+    await Promise.all(entries.map((entry) => deployment.ready(entry, 3)))
+  })
+  afterEach(async () => {
+    for (const created of clients.splice(0)) created.close()
+    await deployment.stop()
+  })
+
+  const connect = (urls: string[]): client.Client => {
+    const timers = clock.createSystem()
+    const created = client.create({ entries: urls, timers, random: generator.fork(), waitMs: 1000 })
+    clients.push(created)
+    return created
+  }
+  const makeTasks = (): Submitted['tasks'] => Array.from({ length: generator.integer(1, MAX_TASKS) }, (_, at) => ({
+    name: `task-${at}`, payload: { token: `token-${tokens++}`, runMs: generator.integer(20, MAX_RUN_MS) }
+  }))
+  const submit = async (through: client.Client): Promise<Submitted> => {
+    const tasks = makeTasks()
+    const result = await through.submit({ team: 'depots', type: 'delivery-booking', tasks },
+      { deadlineMs: DEADLINE_MS, retryRefused: true })
+    return { tasks, result }
+  }
+  /** Submits all jobs at once; `disturb` runs when the first of them has its outcome, while others are in progress. */
+  const submitAll = async (through: client.Client[], disturb: () => void): Promise<Submitted[]> => {
+    const submissions = Array.from({ length: JOBS }, (_, at) => submit(through[at % through.length]!))
+    await Promise.race(submissions)
+    disturb()
+    return Promise.all(submissions)
+  }
+  const count = (submitted: Submitted[]): Record<string, number> => {
+    const counts: Record<string, number> = {}
+    for (const { result } of submitted) {
+      const kind = result.kind === 'ok' ? result.value.kind : result.error.kind
+      counts[kind] = (counts[kind] ?? 0) + 1
+    }
+    return counts
+  }
+  /** Every job has one final outcome, whole and its own, and no task was started twice under any id. */
+  const check = async (submitted: Submitted[]): Promise<void> => {
+    const counts = count(submitted)
+    expect(Object.keys(counts).filter((kind) => kind !== 'complete' && kind !== 'failed'),
+      JSON.stringify(counts)).to.deep.equal([])
+    for (const { tasks, result } of submitted) {
+      if (result.kind !== 'ok') continue
+      if (result.value.kind === 'complete') {
+        const payloads = result.value.results.map((one) => ({
+          name: one.name, payload: (one.result as { payload: Payload }).payload
+        }))
+        expect(payloads).to.deep.equal(tasks)
+      } else if (result.value.kind === 'failed') {
+        expect(result.value.reason).to.equal('owner-lost')
+        expect(result.value.tasks.map(({ name }) => name)).to.deep.equal(tasks.map(({ name }) => name))
+      }
+    }
+    const report = await (await fetch(`${backend}/report`)).json() as { repeated: unknown[], repeatedTokens: unknown[] }
+    expect(report).to.deep.include({ repeated: [], repeatedTokens: [] })
+  }
+
+  // A resubmission to another entry must neither run a task twice nor wait for the dead owner.
+  it('start each task at most once when an entry is killed', async () => {
+    const [first, second] = entries as [Entry, Entry]
+    const through = [connect([first.url, second.url]), connect([second.url, first.url])]
+    const submitted = await submitAll(through, () => first.process.kill('SIGKILL'))
+    await check(submitted)
+    expect(count(submitted)['complete']).to.be.greaterThan(JOBS / 2)
+  })
+
+  // A paused owner wakes up with work in hand that others have meanwhile decided about.
+  it('start each task at most once when an entry is paused and continues', async () => {
+    const [first, second] = entries as [Entry, Entry]
+    const through = [connect([first.url, second.url]), connect([second.url, first.url])]
+    const submitted = await submitAll(through, () => first.process.kill('SIGSTOP'))
+    first.process.kill('SIGCONT')
+    const afterwards = await Promise.all(Array.from({ length: 10 }, () => submit(connect([first.url]))))
+    await check([...submitted, ...afterwards])
+    expect(count(afterwards)).to.deep.equal({ complete: 10 })
+  })
+
+  it('answers every request in progress on SIGTERM and hands the outcomes over', async () => {
+    const [first, second] = entries as [Entry, Entry]
+    const body = (): string => JSON.stringify({ team: 'depots', type: 'delivery-booking', tasks: makeTasks() })
+    const headers = { 'content-type': 'application/json' }
+    const requests = Array.from({ length: 30 }, async () => {
+      const response = await fetch(`${first.url}/v1/jobs?waitMs=30000`, { method: 'POST', headers, body: body() })
+      return await response.json() as types.Outcome
+    })
+    await Promise.race(requests)
+    first.process.kill('SIGTERM')
+    const outcomes = await Promise.all(requests)
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal(outcomes.map(() => 'complete'))
+    expect(await first.process.exited, first.process.output()).to.equal(0)
+    for (const outcome of outcomes) {
+      const again = await fetch(`${second.url}/v1/jobs/${outcome.job}?waitMs=5000`)
+      expect(await again.json()).to.deep.equal(outcome)
+    }
+  })
+})
--- /dev/null
+++ b/packages/mustarddeck/src/processes.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai'
+import * as processes from './testing/processes.ts'
+import * as samples from './samples.ts'
+
+describe('four processes', function () {
+  this.timeout(60_000)
+  let deployment: processes.Deployment
+  beforeEach(() => { deployment = processes.deploy() })
+  afterEach(() => deployment.stop())
+
+  // The parts fit together only if a job goes through all of them, each in a process of its own.
+  it('answer a job with its whole outcome and stop gracefully', async () => {
+    const platform = await deployment.startPlatform()
+    const backend = await deployment.startBackend({ runMs: 20 })
+    const entry = await deployment.startEntry('entry-1', [])
+    const agent = await deployment.startAgent('worker-1', [entry.address], backend)
+    const sample = samples.load('corkbook')
+    await samples.publish(sample, platform)
+    await entry.process.logged('configuration')
+    await agent.logged('link-up')
+    expect((await fetch(`${entry.url}/ready`)).status).to.equal(200)
+
+    const tasks = Array.from({ length: 20 }, (_, at) => ({ name: `scale-${at}`, payload: { kg: at } }))
+    const response = await fetch(`${entry.url}/v1/jobs?waitMs=20000`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ ...sample.job, tasks })
+    })
+    expect(response.status).to.equal(200)
+    const outcome = await response.json() as { kind: string, results: { name: string, result: { payload: unknown } }[] }
+    expect(outcome.kind).to.equal('complete')
+    expect(outcome.results.map(({ name, result }) => ({ name, payload: result.payload }))).to.deep.equal(tasks)
+
+    for (const process of [...deployment.processes()].reverse()) {
+      process.kill('SIGTERM')
+      expect(await process.exited, process.output()).to.equal(0)
+    }
+  })
+})
--- a/packages/mustarddeck/src/testing/processes.ts
+++ b/packages/mustarddeck/src/testing/processes.ts
@@ -70,16 +70,17 @@
 /** Processes of one deployment on loopback with free ports; `stop` ends them all. */
 export interface Deployment {
   start (role: string[], settings: object): Process
+  processes (): Process[]
   startPlatform (): Promise<string>
   startBackend (run?: object): Promise<string>
   startEntry (name: string, entries: string[]): Promise<{ process: Process, url: string, address: string }>
+  /** Waits until the entry has a configuration and that many registered agents. */
+  ready (entry: { url: string, process: Process }, agents: number): Promise<void>
   startAgent (worker: string, entries: string[], backend: string): Promise<Process>
   stop (): Promise<void>
 }
 
-const FAILURE_DOMAINS: Record<string, string> = { c: 'khangai-a', w: 'waco-floor' }
-
-export const deploy = (failureDomain = FAILURE_DOMAINS['c']!): Deployment => {
+export const deploy = (failureDomain = 'khangai-a'): Deployment => {
   const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'mustarddeck-'))
   const processes: Process[] = []
   let platform = ''
@@ -93,6 +94,7 @@
   }
   return {
     start,
+    processes: () => processes,
     startPlatform: async () => {
       platform = await start(['platform', 'stand-in'], {}).field('started', 'http')
       return platform
@@ -105,6 +107,15 @@
       const { http, links } = await process.logged('started')
       return { process, url: `http://${http}`, address: links! }
     },
+    ready: async ({ url, process }, agents) => {
+      await process.logged('configuration')
+      const headers = { authorization: `Bearer ${TOKEN}` }
+      for (let registered = 0; registered < agents;) {
+        const response = await fetch(`${url}/v1/operator/status`, { headers })
+        const state = await response.json() as { agents: { registered: boolean }[] }
+        registered = state.agents.filter((agent) => agent.registered).length
+      }
+    },
     startAgent: async (worker, entries, backend) => {
       const process = start(['agent'], {
         worker,
@@ -115,7 +126,7 @@
         links: { entries, key: KEY },
         platform: { url: platform }
       })
-      await process.logged('started')
+      await process.logged('agent-started')
       return process
     },
     stop: async () => {
