Wait for the fence before work is sent to a resumed entry

A paused entry that continues has no agents for a moment and refuses work with a long retry-after. The link log names the role of a peer peerRole, since the field role of the process itself was overwritten.

--- a/packages/link/src/links.ts
+++ b/packages/link/src/links.ts
@@ -104,7 +104,7 @@
         side: session.side,
         address: session.address,
         peer: hello.name,
-        role: hello.role,
+        peerRole: hello.role,
         incarnation: hello.incarnation
       })
       handler.up(session.id, hello)
--- a/packages/mustarddeck/src/failures.test.ts
+++ b/packages/mustarddeck/src/failures.test.ts
@@ -121,6 +121,8 @@
     const through = [connect([first.url, second.url]), connect([second.url, first.url])]
     const submitted = await submitAll(through, () => first.process.kill('SIGSTOP'))
     first.process.kill('SIGCONT')
+    await first.process.logged('fenced')
+    await deployment.ready(first, 3)
     const afterwards = await Promise.all(Array.from({ length: 10 }, () => submit(connect([first.url]))))
     await check([...submitted, ...afterwards])
     expect(count(afterwards)).to.deep.equal({ complete: 10 })
