Tell an owner that an agent has dropped its records

Cause: an agent that had no link to an owner for long fences it and drops its records. Its answer to resume then lacked them, and the owner took the missing record for a task that never started: it answered failed with never-started for a task that had finished, after another entry had answered complete.

The answer to resume now lists the owner incarnations whose records were dropped.

--- a/packages/agent-core/src/core.ts
+++ b/packages/agent-core/src/core.ts
@@ -112,6 +112,11 @@
     }
     send(link, { kind: 'records', incarnation, ...journal.state(incarnation), jobs, records })
   }
+  const resume = (link: types.LinkId, jobs: types.JobId[]): void => {
+    const owners = new Set(jobs.flatMap((job) => types.parseJobId(job)?.incarnation ?? []))
+    const dropped = [...owners].filter((owner) => journal.state(owner).dropped)
+    send(link, { kind: 'resumed', jobs, dropped, records: journal.find(jobs) })
+  }
   const watch = (job: types.JobId, link: types.LinkId): void => {
     const links = watchers.get(job) ?? new Set()
     watchers.set(job, links.add(link))
@@ -164,7 +169,7 @@
         return
       case 'recover': return recover(link, message)
       case 'resume':
-        return send(link, { kind: 'resumed', jobs: message.jobs, records: journal.find(message.jobs) })
+        return resume(link, message.jobs)
       case 'departed':
         if (message.incarnation === settings.incarnation) leave(now)
         return
--- a/packages/entry-core/src/agent-links.ts
+++ b/packages/entry-core/src/agent-links.ts
@@ -141,7 +141,7 @@
         }
         case 'finished': return owned.finished(agent, message)
         case 'rejected': return owned.rejected(agent, message)
-        case 'resumed': return owned.resumed(agent, message.jobs, message.records)
+        case 'resumed': return owned.resumed(agent, message)
         case 'records': return recovery.records(agent.link, message, context.now())
         case 'record-update':
           return recovery.recordUpdate(message.job, message.index, message.outcome, context.now())
--- a/packages/entry-core/src/owned-jobs.ts
+++ b/packages/entry-core/src/owned-jobs.ts
@@ -19,7 +19,7 @@
   agentDown (agent: agentPeers.AgentPeer): void
   /** The same agent is linked again: asks for the state of its unresolved tasks. */
   agentUp (agent: agentPeers.AgentPeer): void
-  resumed (agent: agentPeers.AgentPeer, asked: types.JobId[], records: messages.JobRecord[]): void
+  resumed (agent: agentPeers.AgentPeer, message: messages.Resumed): void
   /**
    * The agent's incarnation is gone with its records. `hasDeparted`: the membership shows it, and whether the owner was
    * fenced before is known.
@@ -136,15 +136,23 @@
     return job && state?.kind === 'sent' && state.at.link === agent.link ? { job, at: state.at } : undefined
   }
 
-  const resolve = (agent: agentPeers.AgentPeer, job: jobs.Job, record: messages.JobRecord | undefined): void => {
+  const resolve = (
+    agent: agentPeers.AgentPeer, job: jobs.Job, record: messages.JobRecord | undefined, isDropped: boolean
+  ): void => {
     const tasks = new Map(record?.tasks.map((task) => [task.index, task]))
     for (const { index, at } of jobs.inProgress(job)) {
       if (job.states[index]?.kind !== 'unresolved' || at.agent !== agent.incarnation) continue
       const task = tasks.get(index)
       if (task?.outcome) endTask(job, index, at, task.outcome, false)
       else if (task) jobs.setState(job, index, { kind: 'sent', at: { ...at, link: agent.link } })
+      else if (isDropped) loseTask(job, index, at)
       else requeue(job, index, at)
     }
+    if (!isDropped) return
+    // The agent fenced the owner before it dropped the records, and others may have seen them in between.
+    job.mayBeRecovered = true
+    stop(job, 'owner-fenced')
+    settleIfOver(job)
   }
   const requeue = (job: jobs.Job, index: number, at: jobs.Location): void => {
     returnToQueue(job, index, at)
@@ -216,11 +224,12 @@
       const asked = [...byAgent.get(agent.incarnation)?.keys() ?? []]
       if (asked.length > 0) context.send(agent.link, { kind: 'resume', jobs: asked })
     },
-    resumed: (agent, asked, records) => {
+    resumed: (agent, { jobs: asked, dropped, records }) => {
       const byId = new Map(records.map((record) => [record.job, record]))
+      const droppedOwners = new Set(dropped)
       for (const id of asked) {
         const job = open.get(id)
-        if (job) resolve(agent, job, byId.get(id))
+        if (job) resolve(agent, job, byId.get(id), droppedOwners.has(types.parseJobId(id)!.incarnation))
       }
     },
     agentLost: (incarnation, hasDeparted) => {
--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -55,5 +55,20 @@
         { at: 4184, kind: 'crash', process: 3, silent: false, downMs: 4500 }
       ]
     }
+  },
+  {
+    cause: 'an owner took a task whose record the agent had dropped by itself for one that never started',
+    schedule: {
+      seed: 1381333,
+      profile: { ...profile, removeAgentAfterMs: 60_000, orphanAfterMs: 6000, orphanRetentionMs: 3000 },
+      storeDownMs: 0,
+      events: [
+        { at: 0, kind: 'submit', runMs: [600, 20], issuer: 0, entry: 0, waitMs: 0 },
+        { at: 4, kind: 'split', sides: 1, durationMs: 9524 },
+        { at: 642, kind: 'break', a: 0, b: 4 },
+        { at: 2507, kind: 'submit', runMs: [20], issuer: 9, entry: 0, waitMs: 0 },
+        { at: 5760, kind: 'resubmit', job: 0, entry: 1 }
+      ]
+    }
   }
 ]
--- a/packages/explore/src/foreign-messages.ts
+++ b/packages/explore/src/foreign-messages.ts
@@ -103,15 +103,13 @@
       }
     }
   }
-  const isFenced = (jobs: types.JobId[]): boolean =>
-    jobs.some((job) => fenced.has(types.parseJobId(job)!.incarnation))
   const give = (input: agentCore.Input): void => {
     for (const effect of core.handle(input, now)) {
       if (effect.kind === 'execute') executed(effect.start)
       if (effect.kind !== 'send') continue
       const { message } = effect
       if (message.kind === 'records') checkRecords(message.jobs, message.records, message.dropped)
-      if (message.kind === 'resumed') checkRecords(message.jobs, message.records, isFenced(message.jobs))
+      if (message.kind === 'resumed') checkRecords(message.jobs, message.records, message.dropped.length > 0)
       if (message.kind === 'fenced') fenced.add(message.incarnation)
     }
   }
--- a/packages/explore/src/mutants.ts
+++ b/packages/explore/src/mutants.ts
@@ -104,7 +104,7 @@
   }
   collect(handle(input, now))
   for (const { link, jobs } of pending) {
-    collect(handle({ kind: 'message', link, message: { kind: 'resumed', jobs, records: [] } }, now))
+    collect(handle({ kind: 'message', link, message: { kind: 'resumed', jobs, dropped: [], records: [] } }, now))
   }
   return effects
 })
--- a/packages/messages/src/agent.ts
+++ b/packages/messages/src/agent.ts
@@ -121,10 +121,15 @@
   records: Type.Array(JobRecord, { maxItems: bounds.MAX_LIST })
 })
 
-/** Agent to entry: answer to `resume`. Tasks of these jobs without a record have not started and never will. */
+/**
+ * Agent to entry: answer to `resume`. Tasks of these jobs without a record have not started and never will, unless the
+ * agent dropped the records of their owner incarnation by itself.
+ */
 export const Resumed = Type.Object({
   kind: Type.Literal('resumed'),
   jobs: Type.Array(Name<types.JobId>(), { maxItems: bounds.MAX_LIST }),
+  /** Incarnations among the owners of the jobs whose records were dropped. */
+  dropped: Type.Array(Name<types.Incarnation>(), { maxItems: bounds.MAX_LIST }),
   records: Type.Array(JobRecord, { maxItems: bounds.MAX_LIST })
 })
 
@@ -160,4 +165,5 @@
 export type TaskRecord = typebox.Static<typeof TaskRecord>
 export type JobRecord = typebox.Static<typeof JobRecord>
 export type Records = typebox.Static<typeof Records>
+export type Resumed = typebox.Static<typeof Resumed>
 export type Recover = typebox.Static<typeof Recover>
