Explore recovery in a store outage, byte limits and aborts

New checks: may-have-run and aborted tasks have a cause, and the reason of a failed task matches the record.

--- a/packages/explore/src/check.ts
+++ b/packages/explore/src/check.ts
@@ -62,6 +62,17 @@
   })
 }
 
+const isTrue = (task: types.TaskOutcome, start: backend.Start | undefined): boolean => {
+  switch (task.kind) {
+    case 'never-started': return start === undefined
+    case 'finished': return start?.end?.kind === 'finished' && start.end.result === task.result
+    case 'failed': return start !== undefined && (task.reason === 'connection-lost' || start.end?.kind === 'failed')
+    // The abort may overtake the call, so that nothing started.
+    case 'cancelled': return start === undefined || start.end?.kind === 'cancelled'
+    case 'may-have-run': return true
+  }
+}
+
 const checkFailed = (outcome: types.Outcome & { kind: 'failed' }, content: callers.Content | undefined,
   starts: backend.Start[], report: Report): void => {
   const tasks = content?.tasks
@@ -74,10 +85,7 @@
   }
   outcome.tasks.forEach(({ outcome: task }, index) => {
     const start = starts.find((other) => other.index === index)
-    const wrong = (task.kind === 'never-started' && start) ||
-      (task.kind === 'finished' && (start?.end?.kind !== 'finished' || start.end.result !== task.result)) ||
-      (task.kind === 'failed' && !start)
-    if (wrong) {
+    if (!isTrue(task, start)) {
       report('failed matches the record', `${outcome.job}/${index}: ${JSON.stringify(task)}, record ${JSON.stringify(start)}`)
     }
   })
@@ -110,9 +118,8 @@
   const openedAt = run.callers.reservedAt(prefix) ?? 0
   const departures = id.view.kind === 'registered' ? id.view.departures : 0
   const keptMs = Math.min(blockLifetimeMs + blockRetentionMs, orphanAfterMs + orphanRetentionMs)
-  const hasLostAgent = run.membership.departures > departures ||
-    run.processes.some((process) => process.role === 'agent' && !process.host.alive())
-  if (at - openedAt < keptMs - 10 && !hasLostAgent) {
+  const hasCause = run.membership.departures > departures || hasLostAgent(run)
+  if (at - openedAt < keptMs - 10 && !hasCause) {
     report('expired has a cause', `${job} at ${at.toFixed(1)}, opened at ${openedAt.toFixed(1)}`)
   }
 }
@@ -142,7 +149,11 @@
   }
   switch (outcome.kind) {
     case 'complete': return checkComplete(outcome, content, started, report)
-    case 'failed': return checkFailed(outcome, content, started, report)
+    case 'failed':
+      if (outcome.tasks.some((task) => task.outcome.kind === 'may-have-run') && !hasLostAgent(run)) {
+        report('may-have-run has a cause', JSON.stringify(outcome))
+      }
+      return checkFailed(outcome, content, started, report)
     case 'expired': return checkExpired(run, outcome.job, at, report)
     case 'not-run': return checkNotRun(run, request, outcome, started, report)
     case 'conflict':
@@ -161,6 +172,21 @@
   if (ran) report('not run is true', `${request.id}: ${JSON.stringify(outcome)}, record ${JSON.stringify(ran)}`)
 }
 
+/** The backend server's work is aborted only on a caller's wish, or for a job that may run again after a failure. */
+const checkAborts = (run: runs.Record, report: Report): void => {
+  const jobs = new Map(run.callers.jobs.map((job) => [job.id, job]))
+  for (const start of run.starts) {
+    if (start.end?.kind !== 'cancelled') continue
+    const job = jobs.get(start.job)
+    const isWanted = job?.content.idempotent || job?.requests.some((request) => request.kind === 'cancel' ||
+      request.content?.idempotent)
+    if (!isWanted) report('nothing in progress is cut', JSON.stringify(start))
+  }
+}
+
+const hasLostAgent = (run: runs.Record): boolean =>
+  run.processes.some((process) => process.role === 'agent' && !process.host.alive())
+
 const checkLeaving = (run: runs.Record, process: processes.Process, report: Report): void => {
   const { leavingAt } = process
   if (process.role !== 'agent' || leavingAt === undefined) return
@@ -204,6 +230,7 @@
   checkSingleStarts(starts, report)
   checkAnswers(run, starts, report)
   for (const process of run.processes) checkLeaving(run, process, report)
+  checkAborts(run, report)
   checkLiveness(run, report)
   return violations
 }
--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -4,7 +4,7 @@
 
 /** Entries, agents and jobs are meant by number, modulo how many there are at the time. Times are in ms. */
 export type Action =
-  | { kind: 'submit', runMs: number[], issuer: number | undefined, entry: number, waitMs: number }
+  | { kind: 'submit', runMs: number[], idempotent: boolean, issuer: number | undefined, entry: number, waitMs: number }
   | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number }
   | { kind: 'duplicate', job: number, entry: number, other: number }
   | { kind: 'abandon', job: number }
@@ -29,6 +29,9 @@
   removeAgentAfterMs: number
   orphanAfterMs: number
   orphanRetentionMs: number
+  /** Byte limits of an entry and of an agent. */
+  entryBytes: number
+  agentBytes: number
 }
 
 export interface Schedule {
@@ -57,7 +60,7 @@
 const kind = <Kind extends string>(...kinds: Kind[]): fc.Arbitrary<Kind> => fc.constantFrom(...kinds)
 
 const submit = fc.record({
-  kind: kind('submit'), runMs, issuer: fc.option(number, { freq: 6, nil: undefined }), entry: number, waitMs
+  kind: kind('submit'), runMs, idempotent: fc.boolean(), issuer: fc.option(number, { freq: 6, nil: undefined }), entry: number, waitMs
 })
 const extraDelayMs = fc.integer({ min: 10, max: 1500 })
 const [a, b] = [processNumber, processNumber]
@@ -85,20 +88,27 @@
   blockRetentionMs: 60_000,
   removeAgentAfterMs: 60_000,
   orphanAfterMs: 60_000,
-  orphanRetentionMs: 60_000
+  orphanRetentionMs: 60_000,
+  entryBytes: 10_000_000,
+  agentBytes: 10_000_000
+}
+
+/** Everything expires within a run. */
+const hurried: Profile = {
+  ...unhurried,
+  blockLifetimeMs: 3000,
+  blockRetentionMs: 5000,
+  removeAgentAfterMs: 4000,
+  orphanAfterMs: 8000,
+  orphanRetentionMs: 2000
 }
 
 const profile: fc.Arbitrary<Profile> = fc.constantFrom(
   { ...unhurried, removeAgentAfterMs: 4000 },
   { ...unhurried, orphanAfterMs: 6000, orphanRetentionMs: 3000 },
   { ...unhurried, blockLifetimeMs: 5000, removeAgentAfterMs: 6000 },
-  {
-    blockLifetimeMs: 3000,
-    blockRetentionMs: 5000,
-    removeAgentAfterMs: 4000,
-    orphanAfterMs: 8000,
-    orphanRetentionMs: 2000
-  })
+  { ...hurried },
+  { ...hurried, entryBytes: 14_000, agentBytes: 2500 })
 
 const event: fc.Arbitrary<Event> = fc.tuple(fc.nat({ max: LAST_EVENT_MS }), action)
   .map(([at, value]) => ({ at, ...value }))
@@ -107,7 +117,9 @@
 const at = (from: number, to: number, value: fc.Arbitrary<Action>): fc.Arbitrary<Event> =>
   fc.tuple(fc.integer({ min: from, max: to }), value).map(([time, action]) => ({ at: time, ...action }))
 const longMs = fc.integer({ min: 6000, max: 12_000 })
-const ownJob = fc.record({ kind: kind('submit'), runMs, issuer: fc.constant(0), entry: fc.constant(0), waitMs })
+const ownJob = fc.record({
+  kind: kind('submit'), runMs, idempotent: fc.boolean(), issuer: fc.constant(0), entry: fc.constant(0), waitMs
+})
 const elsewhere = fc.record({ kind: kind('resubmit', 'resubmit', 'resubmit', 'cancel'), job: number, entry: fc.constant(1) })
 const list = (minLength: number, maxLength: number, value: fc.Arbitrary<Event>): fc.Arbitrary<Event[]> =>
   fc.array(value, { minLength, maxLength, size: 'max' })
@@ -134,6 +146,21 @@
   list(1, 5, at(500, 12_000, elsewhere)),
   list(0, 4, at(0, 12_000, action)))
 
+/** An owner is recovered while the store is down, and agents restart. */
+const recoveryInOutage = fc.tuple(
+  list(1, 3, at(0, 500, ownJob)),
+  list(1, 1, at(0, 1500, fc.record({
+    kind: kind('split'), sides: fc.constantFrom(1, 1, 5, 9), durationMs: longMs
+  }))),
+  list(1, 1, at(0, 3000, fc.record({
+    kind: kind('store'), fault: kind('down', 'answer-lost'), durationMs: fc.integer({ min: 1000, max: 6000 })
+  }))),
+  list(1, 5, at(500, 12_000, elsewhere)),
+  list(0, 2, at(1000, 9000, fc.record({
+    kind: kind('crash'), process: fc.integer({ min: 2, max: 4 }), silent: fc.boolean(), downMs: durationMs
+  }))),
+  list(0, 3, at(0, 12_000, action)))
+
 const anything = fc.array(event, { minLength: 1, maxLength: MAX_EVENTS, size: 'max' })
 
 export const schedule: fc.Arbitrary<Schedule> = fc.record({
@@ -145,7 +172,8 @@
   events: fc.oneof(
     { weight: 6, arbitrary: anything },
     { weight: 1, arbitrary: removedAgent.map((lists) => lists.flat()) },
-    { weight: 1, arbitrary: isolatedOwner.map((lists) => lists.flat()) })
+    { weight: 1, arbitrary: isolatedOwner.map((lists) => lists.flat()) },
+    { weight: 1, arbitrary: recoveryInOutage.map((lists) => lists.flat()) })
 })
 
 /** Work without any fault: every job is submitted before any is submitted again, and callers wait for the outcome. */
--- a/packages/explore/src/fakes/callers.ts
+++ b/packages/explore/src/fakes/callers.ts
@@ -8,6 +8,7 @@
 export interface Content {
   token: string
   tasks: Array<{ name: types.TaskName, runMs: number }>
+  idempotent: boolean
 }
 
 export interface Job {
@@ -49,7 +50,7 @@
   jobs: Job[]
   requests: Request[]
   /** Makes a job with an id from a block of `issuer`, then submits it to `target`. Without an issuer it has no id. */
-  submit (runMs: number[], issuer: Door | undefined, target: Door, waitMs: number): void
+  submit (work: { runMs: number[], idempotent: boolean }, issuer: Door | undefined, target: Door, waitMs: number): void
   resubmit (job: Job, target: Door, waitMs: number): Request | undefined
   /** Submits other content under the id of the job. */
   conflict (job: Job, target: Door): void
@@ -81,9 +82,10 @@
 
   const nextRequest = (): types.RequestId => `q${++serial}` as types.RequestId
   const delayMs = (): number => 0.1 + random.exponential(random.float() < 0.05 ? 100 : 1)
-  const newContent = (runMs: number[]): Content => {
+  const newContent = (runMs: number[], idempotent: boolean): Content => {
     const token = `c${++serial}`
-    return { token, tasks: runMs.map((ms, index) => ({ name: `${token}-${index}` as types.TaskName, runMs: ms })) }
+    const tasks = runMs.map((ms, index) => ({ name: `${token}-${index}` as types.TaskName, runMs: ms }))
+    return { token, tasks, idempotent }
   }
   const submissionOf = (content: Content, id: types.JobId | undefined): types.Submission => ({
     ...(id ? { id } : {}),
@@ -93,7 +95,7 @@
       const payload: backend.Payload = { token: content.token, runMs }
       return { name, payload }
     }),
-    idempotent: false,
+    idempotent: content.idempotent,
     digest: `digest-${content.token}` as types.Digest
   })
   const post = (
@@ -124,8 +126,8 @@
     post(job, 'submit', target, content, (request) =>
       ({ kind: 'submit', request, submission: submissionOf(content, job.id), waitMs }))
 
-  const submit = (runMs: number[], issuer: Door | undefined, target: Door, waitMs: number): void => {
-    const job: Job = { number: jobs.length, content: newContent(runMs), requests: [] }
+  const submit: Callers['submit'] = ({ runMs, idempotent }, issuer, target, waitMs) => {
+    const job: Job = { number: jobs.length, content: newContent(runMs, idempotent), requests: [] }
     jobs.push(job)
     const start = (id: types.JobId | undefined): void => {
       job.id = id
@@ -146,7 +148,7 @@
     submit,
     resubmit: (job, target, waitMs) => job.id ? send(job, job.content, target, waitMs) : undefined,
     conflict: (job, target) => {
-      if (job.id) send(job, newContent(job.content.tasks.map(() => 50)), target, 1000)
+      if (job.id) send(job, newContent(job.content.tasks.map(() => 50), true), target, 1000)
     },
     inquire: (job, target) => {
       const id = job.id
--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -11,7 +11,9 @@
   blockRetentionMs: 60_000,
   removeAgentAfterMs: 4000,
   orphanAfterMs: 60_000,
-  orphanRetentionMs: 60_000
+  orphanRetentionMs: 60_000,
+  entryBytes: 10_000_000,
+  agentBytes: 10_000_000
 }
 
 export const findings: Finding[] = [
@@ -23,7 +25,7 @@
       storeDownMs: 0,
       events: [
         { at: 0, kind: 'pause', process: 2, durationMs: 3028 },
-        { at: 0, kind: 'submit', runMs: [20, 20], issuer: undefined, entry: 3, waitMs: 0 }
+        { at: 0, kind: 'submit', runMs: [20, 20], idempotent: false, issuer: undefined, entry: 3, waitMs: 0 }
       ]
     }
   },
@@ -35,7 +37,7 @@
       storeDownMs: 0,
       events: [
         { at: 584, kind: 'break', a: 0, b: 1 },
-        { at: 820, kind: 'submit', runMs: [20, 600], issuer: undefined, entry: 0, waitMs: 0 },
+        { at: 820, kind: 'submit', runMs: [20, 600], idempotent: false, issuer: undefined, entry: 0, waitMs: 0 },
         { at: 824, kind: 'cancel', job: 0, entry: 3 },
         { at: 825, kind: 'crash', process: 0, silent: false, downMs: 4500 }
       ]
@@ -48,7 +50,7 @@
       profile,
       storeDownMs: 0,
       events: [
-        { at: 0, kind: 'submit', runMs: [20, 20, 20], issuer: 0, entry: 0, waitMs: 0 },
+        { at: 0, kind: 'submit', runMs: [20, 20, 20], idempotent: false, issuer: 0, entry: 0, waitMs: 0 },
         { at: 0, kind: 'split', sides: 1, durationMs: 6000 },
         { at: 500, kind: 'resubmit', job: 0, entry: 1 },
         { at: 1943, kind: 'resubmit', job: 0, entry: 1 },
@@ -63,10 +65,10 @@
       profile: { ...profile, removeAgentAfterMs: 60_000, orphanAfterMs: 6000, orphanRetentionMs: 3000 },
       storeDownMs: 0,
       events: [
-        { at: 0, kind: 'submit', runMs: [600, 20], issuer: 0, entry: 0, waitMs: 0 },
+        { at: 0, kind: 'submit', runMs: [600, 20], idempotent: false, issuer: 0, entry: 0, waitMs: 0 },
         { at: 4, kind: 'split', sides: 1, durationMs: 9524 },
         { at: 642, kind: 'break', a: 0, b: 4 },
-        { at: 2507, kind: 'submit', runMs: [20], issuer: 9, entry: 0, waitMs: 0 },
+        { at: 2507, kind: 'submit', runMs: [20], idempotent: false, issuer: 9, entry: 0, waitMs: 0 },
         { at: 5760, kind: 'resubmit', job: 0, entry: 1 }
       ]
     }
--- a/packages/explore/src/run.ts
+++ b/packages/explore/src/run.ts
@@ -72,7 +72,7 @@
 const request = (action: RequestAction, side: callers.Callers, entry: (index: number) => callers.Door): void => {
   if (action.kind === 'submit') {
     const issuer = action.issuer === undefined ? undefined : entry(action.issuer)
-    side.submit(action.runMs, issuer, entry(action.entry), action.waitMs)
+    side.submit(action, issuer, entry(action.entry), action.waitMs)
     return
   }
   const job = side.jobs[action.job % Math.max(1, side.jobs.length)]
@@ -138,6 +138,7 @@
   }
   const start = (name: string, role: 'entry' | 'agent', life: number): processes.Process => {
     const { removeAgentAfterMs, blockLifetimeMs, blockRetentionMs, orphanAfterMs, orphanRetentionMs } = schedule.profile
+    const { entryBytes, agentBytes } = schedule.profile
     let process: processes.Process
     if (role === 'agent') {
       const incarnation = identities.text(12) as types.Incarnation
@@ -146,7 +147,7 @@
         incarnation,
         slots: SLOTS,
         resources: RESOURCES,
-        maxBytes: 10_000_000,
+        maxBytes: agentBytes,
         orphanAfterMs,
         orphanRetentionMs,
         leaveGraceMs: LEAVE_GRACE_MS
@@ -158,7 +159,7 @@
     } else {
       const settings: entryCore.Settings = {
         name: name as types.EntryName,
-        maxBytes: 10_000_000,
+        maxBytes: entryBytes,
         blockLifetimeMs,
         blockRetentionMs,
         suspectAfterMs: 1000,
