Settle a job from records only after its owner's fence is stored

Cause: while the store was down, an entry answered complete from full records of an owner that it could not reach. When the store was back, the owner, alive and cut off, read that the agents had departed, saw no fence, and answered failed with tasks that may have run.

Nothing but the table can order the conclusion against the departure, so the recovery now answers unknown until the fence is stored. The cost: while the store is down, the finished jobs of a dead entry are not answered until the store is back.

--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -72,5 +72,20 @@
         { at: 5760, kind: 'resubmit', job: 0, entry: 1 }
       ]
     }
+  },
+  {
+    cause: 'complete was said from records while the store was down, and the owner gave up the agent after that',
+    schedule: {
+      seed: 416438076,
+      profile: { ...profile, removeAgentAfterMs: 60_000 },
+      storeDownMs: 0,
+      events: [
+        { at: 0, kind: 'submit', runMs: [60, 90], idempotent: false, issuer: 0, entry: 0, waitMs: 0 },
+        { at: 6, kind: 'split', sides: 1, durationMs: 12_000 },
+        { at: 1500, kind: 'store', fault: 'down', durationMs: 4187 },
+        ...[3500, 4000, 4500, 5000].map((at) => ({ at, kind: 'resubmit' as const, job: 0, entry: 1 })),
+        ...[2, 3, 4].map((process) => ({ at: 4771, kind: 'crash' as const, process, silent: false, downMs: 10 }))
+      ]
+    }
   }
 ]
--- a/packages/recovery/src/owner-case.ts
+++ b/packages/recovery/src/owner-case.ts
@@ -45,7 +45,6 @@
   let fencing = false
   let storing = false
   let storeRetryAt = Infinity
-  let hasStoreFailed = false
   /** The membership that the fence transaction proved to be current. */
   let proven: types.Membership | undefined
   let latest: types.Membership | undefined
@@ -88,21 +87,18 @@
     return [...awaited, ...job.evidence.runningOn()].every((agent) => !isListed(agent) && !isLinked(agent))
   }
 
-  /** The first attempt to store the fence has no result yet, and there is time to wait for it. */
-  const isStoreAwaited = (job: JobCase, now: number): boolean =>
-    !proven && !hasStoreFailed && now < job.answerBy
   /**
-   * The agent was a member after the fence. The owner may have given up the tasks of an agent that departed before it,
+   * The agent was a member after the fence. The owner may give up the tasks of an agent that departed before the fence,
    * so that this agent's records must not settle a job.
    */
   const isOrWasListed = (agent: types.Incarnation): boolean => {
-    if (!proven) return true
-    return listedWithFence.has(agent) || proven.members.some(({ incarnation }) => incarnation === agent)
+    const isProven = proven?.members.some(({ incarnation }) => incarnation === agent) ?? false
+    return isProven || (proven !== undefined && listedWithFence.has(agent))
   }
 
   /** The final outcome that follows from what is known, if any does. */
-  const conclude = (name: types.JobId, job: JobCase, now: number): types.Outcome | undefined => {
-    const settled = isStoreAwaited(job, now) ? undefined : job.evidence.settled(isOrWasListed)
+  const conclude = (name: types.JobId, job: JobCase): types.Outcome | undefined => {
+    const settled = job.evidence.settled(isOrWasListed)
     if (settled) return settled
     if (job.id.block <= retired || waitsOnlyForLostAgents(job)) return { kind: 'expired', job: name }
     if (!isCovered(job) || job.evidence.runningOn().length > 0) return undefined
@@ -120,7 +116,7 @@
 
   const evaluate = (name: types.JobId, job: JobCase, now: number): void => {
     if (!job.wanted) return
-    let outcome = conclude(name, job, now)
+    let outcome = conclude(name, job)
     if (!outcome && now >= job.answerBy && !isInProgress(job)) {
       outcome = { kind: 'unknown', job: name, reason: uncertainty(job), retryAfterMs: settings.retryAfterMs }
     }
@@ -179,7 +175,6 @@
     fenceStored: (membership, now) => {
       storing = false
       proven ??= membership
-      hasStoreFailed ||= !proven
       if (!proven) storeRetryAt = now + STORE_RETRY_MS
       evaluateAll(now)
     },
--- a/packages/recovery/src/recovery.test.ts
+++ b/packages/recovery/src/recovery.test.ts
@@ -70,12 +70,15 @@
     expect(kinds()).to.deep.equal(['unknown', 'failed'])
   })
 
-  it('concludes from full records while the store is down', () => {
+  // An owner that is alive gives up the tasks of a departed agent unless the table shows that it was fenced before.
+  it('concludes from full records only once the fence is stored', () => {
     const { subject, decided } = createCase()
     subject.fenceStored(OWNER, undefined, 1001)
     subject.records(LINK_1, records([task(1, 'b')]), 1002)
     subject.records(LINK_2, records([task(0)]), 1003)
     subject.recordUpdate(JOB, 0, { kind: 'finished', result: 'a', runMs: 1 }, 1004)
+    expect(decided).to.deep.equal([])
+    subject.fenceStored(OWNER, membership(), 1005)
     expect(decided).to.deep.equal([{
       kind: 'complete', job: JOB, results: [{ name: 't0', result: 'a' }, { name: 't1', result: 'b' }]
     }])
