--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -178,9 +178,9 @@
     { weight: 1, arbitrary: recoveryInOutage.map((lists) => lists.flat()) })
 })
 
-/** What happens to a job's other tasks after a failure depends on the time, so only jobs of one task fail. */
-const failsAlone = (list: number[]): number[] => {
-  const late = list.find((value) => value > LONGEST_SAFE_MS)
+/** A failure aborts the other tasks of an idempotent job at a time that differs, so such a job fails alone. */
+const runMsOf = ({ idempotent, runMs: list }: { idempotent: boolean, runMs: number[] }): number[] => {
+  const late = idempotent ? list.find((value) => value > LONGEST_SAFE_MS) : undefined
   return late === undefined ? list : [late]
 }
 
@@ -194,7 +194,7 @@
     fc.array(fc.tuple(fc.integer({ min: 5000, max: 7000 }),
       fc.record({ kind: kind('resubmit', 'conflict'), job: number, entry: number })), { maxLength: 8, size: 'max' })
   ).map(([first, again]): Event[] => [
-    ...first.map(([at, value]) => ({ at, ...value, runMs: failsAlone(value.runMs), waitMs: 60_000 })),
+    ...first.map(([at, value]) => ({ at, ...value, runMs: runMsOf(value), waitMs: 60_000 })),
     ...again.map(([at, value]) => ({ at, ...value }))
   ])
 })
