Test the built executable as separate processes

The test builds the executable and runs every role and command of the callers and operators from it: apply, submit, cancel, status, drain and local, whose printed curl line it runs. The commands on declarations are part of the command line now. Conclusion: the whole path works from the one executable, and wrong settings or usage end with status 2.

--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -220,11 +220,11 @@
   })
 
   const end = async (): Promise<void> => {
-    log.info('stopping', { jobs: core.status().jobs, requests: requests.open() })
+    log.info('entry-stopping', { jobs: core.status().jobs, requests: requests.open() })
     driver.input({ kind: 'drain' })
     await driver.drained
     await kernel.stop()
-    log.info('stopped')
+    log.info('entry-stopped')
     resolveEnded()
   }
   const stop = (): Promise<void> => {
@@ -233,7 +233,7 @@
   }
   await kernel.start()
   driver.input({ kind: 'timer' })
-  log.info('started', { http: httpAddress, links: address, incarnation })
+  log.info('entry-started', { http: httpAddress, links: address, incarnation })
   return {
     name,
     url: `http://${httpAddress}`,
--- a/packages/mustarddeck/src/commands/backend-stand-in.ts
+++ b/packages/mustarddeck/src/commands/backend-stand-in.ts
@@ -6,7 +6,7 @@
   describe: 'Run a stand-in for a backend server',
   builder: (parser) => parser.options(role.settingsOption),
   run: ({ settings }) => role.run('backend stand-in', settings, async (loaded) => {
-    const roles = await import('../stand-ins.ts')
-    return roles.startBackend(loaded)
+    const standIn = await import('@mustarddeck/backend-stand-in')
+    return standIn.start(loaded)
   })
 }
--- a/packages/mustarddeck/src/commands/index.ts
+++ b/packages/mustarddeck/src/commands/index.ts
@@ -3,6 +3,7 @@
 import * as backendStandIn from './backend-stand-in.ts'
 import * as cancel from './cancel.ts'
 import * as command from './command.ts'
+import * as configuration from './configuration/index.ts'
 import * as drain from './drain.ts'
 import * as entry from './entry.ts'
 import * as local from './local.ts'
@@ -30,5 +31,6 @@
   command.toModule(submit.command, finish),
   command.toModule(cancel.command, finish),
   command.toModule(status.command, finish),
-  command.toModule(drain.command, finish)
+  command.toModule(drain.command, finish),
+  ...configuration.all(finish)
 ]
--- a/packages/mustarddeck/src/commands/platform-stand-in.ts
+++ b/packages/mustarddeck/src/commands/platform-stand-in.ts
@@ -6,7 +6,7 @@
   describe: 'Run a stand-in for the platform\'s table service and object store',
   builder: (parser) => parser.options(role.settingsOption),
   run: ({ settings }) => role.run('platform stand-in', settings, async (loaded) => {
-    const roles = await import('../stand-ins.ts')
-    return roles.startPlatform(loaded)
+    const standIns = await import('../stand-ins.ts')
+    return standIns.startPlatform(loaded)
   })
 }
--- a/packages/mustarddeck/src/deployment.ts
+++ b/packages/mustarddeck/src/deployment.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto'
 import * as agents from '@mustarddeck/agent'
+import * as backendStandIn from '@mustarddeck/backend-stand-in'
 import * as clock from '@mustarddeck/clock'
 import * as entries from '@mustarddeck/entry'
 import * as errors from '@mustarddeck/errors'
@@ -68,13 +69,13 @@
     })))
   }
   const backends = await Promise.all(Array.from({ length: AGENTS }, () =>
-    standIns.startBackend(complete('backend stand-in', { http: http(), log }))))
-  const startedAgents = await Promise.all(backends.map(({ url }, at) => agents.start(complete('agent', {
+    backendStandIn.start(complete('backend stand-in', { http: http(), log }))))
+  const startedAgents = await Promise.all(backends.map(({ address }, at) => agents.start(complete('agent', {
     worker: `worker-${at + 1}`,
     failureDomain: domain(at),
     slots: sample.slots,
     resources: sample.resources,
-    backend: { url: `${url}/run`, connections: sample.connections },
+    backend: { url: `http://${address}/run`, connections: sample.connections },
     links: { entries: startedEntries.map(({ address }) => address), key },
     platform: { url: platform.url },
     limits: { leaveGraceMs: LEAVE_GRACE_MS },
@@ -85,7 +86,7 @@
 
   return {
     platformUrl: platform.url,
-    backendUrls: backends.map(({ url }) => url),
+    backendUrls: backends.map(({ address }) => `http://${address}`),
     entries: startedEntries,
     token,
     stop: async () => {
--- a/packages/mustarddeck/src/testing/processes.ts
+++ b/packages/mustarddeck/src/testing/processes.ts
@@ -7,6 +7,7 @@
 import * as toml from 'smol-toml'
 
 const MAIN = url.fileURLToPath(new URL('../main.ts', import.meta.url))
+const FAILURE_DOMAIN = 'khangai-a'
 const KEY = 'key-of-the-links-in-tests'
 export const TOKEN = 'token-of-operators-in-tests'
 
@@ -16,6 +17,8 @@
   field (event: string, name: string): Promise<string>
   /** Settles when a log line of that event has been written. */
   logged (event: string): Promise<Record<string, string>>
+  /** The first line that matches; waits for it. */
+  line (pattern: RegExp): Promise<string>
   kill (signal: NodeJS.Signals): void
   /** Exit code, or the signal that ended the process. */
   exited: Promise<number | NodeJS.Signals>
@@ -23,20 +26,20 @@
   output (): string
 }
 
-/** How to start mustarddeck; the source unless the environment names a built executable. */
-const program = (): string[] => {
-  const binary = process.env['MUSTARDDECK_BINARY']
-  return binary === undefined ? [process.execPath, '--import', 'tsx', MAIN] : [binary]
-}
+/** Program and first arguments that run mustarddeck from its source. */
+const SOURCE = [process.execPath, '--import', 'tsx', MAIN]
 
 const FIELD = /([A-Za-z]+)=("(?:[^"\\]|\\.)*"|\S*)/g
 
 const parse = (line: string): Record<string, string> => Object.fromEntries([...line.matchAll(FIELD)].map(
   ([, name, value]) => [name, value!.startsWith('"') ? JSON.parse(value!) as string : value!]))
 
-export const run = (args: string[]): Process => {
-  const [command, ...first] = program()
-  const child = childProcess.spawn(command!, [...first, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+/** `program` is the source, or a built executable. */
+export const run = (args: string[], program = SOURCE, environment: Record<string, string> = {}): Process => {
+  const [command, ...first] = program
+  const child = childProcess.spawn(command!, [...first, ...args], {
+    stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...environment }
+  })
   const lines: string[] = []
   const waiting = new Set<() => void>()
   const note = (line: string): void => {
@@ -47,19 +50,28 @@
   const exited = new Promise<number | NodeJS.Signals>((resolve) => {
     child.once('close', (code, signal) => resolve(code ?? signal!))
   })
-  const logged = (event: string): Promise<Record<string, string>> => new Promise((resolve, reject) => {
-    const check = (): void => {
-      const line = lines.map(parse).find((fields) => fields['event'] === event)
-      if (!line) return
-      waiting.delete(check)
-      resolve(line)
-    }
-    waiting.add(check)
-    exited.then(() => reject(new Error(`no event ${event} in:\n${lines.join('\n')}`)))
-    check()
+  /** The first line for which `select` gives a value. */
+  const wait = <Value>(what: string, select: (line: string) => Value | undefined): Promise<Value> =>
+    new Promise((resolve, reject) => {
+      const check = (): void => {
+        for (const line of lines) {
+          const value = select(line)
+          if (value === undefined) continue
+          waiting.delete(check)
+          return resolve(value)
+        }
+      }
+      waiting.add(check)
+      exited.then(() => reject(new Error(`no ${what} in:\n${lines.join('\n')}`)))
+      check()
+    })
+  const logged = (event: string): Promise<Record<string, string>> => wait(`event ${event}`, (line) => {
+    const fields = parse(line)
+    return fields['event'] === event ? fields : undefined
   })
   return {
     logged,
+    line: (pattern) => wait(String(pattern), (line) => pattern.test(line) ? line : undefined),
     field: async (event, name) => (await logged(event))[name]!,
     kill: (signal) => { child.kill(signal) },
     exited,
@@ -80,7 +92,7 @@
   stop (): Promise<void>
 }
 
-export const deploy = (failureDomain = 'khangai-a'): Deployment => {
+export const deploy = (program = SOURCE): Deployment => {
   const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'mustarddeck-'))
   const processes: Process[] = []
   let platform = ''
@@ -88,7 +100,7 @@
   const start = (role: string[], settings: object): Process => {
     const file = path.join(directory, `${processes.length}.toml`)
     fs.writeFileSync(file, toml.stringify(settings))
-    const started = run([...role, '--settings', file])
+    const started = run([...role, '--settings', file], program)
     processes.push(started)
     return started
   }
@@ -96,15 +108,23 @@
     start,
     processes: () => processes,
     startPlatform: async () => {
-      platform = await start(['platform', 'stand-in'], {}).field('started', 'http')
+      const started = start(['platform', 'stand-in'], {})
+      platform = `http://${await started.field('platform-stand-in-started', 'address')}`
       return platform
     },
-    startBackend: (run = {}) => start(['backend', 'stand-in'], { run }).field('started', 'http'),
+    startBackend: async (run = {}) => {
+      const started = start(['backend', 'stand-in'], { run })
+      return `http://${await started.field('backend-stand-in-started', 'address')}`
+    },
     startEntry: async (name, entries) => {
       const process = start(['entry'], {
-        name, failureDomain, links: { entries, key: KEY }, platform: { url: platform }, operators: { token: TOKEN }
+        name,
+        failureDomain: FAILURE_DOMAIN,
+        links: { entries, key: KEY },
+        platform: { url: platform },
+        operators: { token: TOKEN }
       })
-      const { http, links } = await process.logged('started')
+      const { http, links } = await process.logged('entry-started')
       return { process, url: `http://${http}`, address: links! }
     },
     ready: async ({ url, process }, agents) => {
@@ -119,7 +139,7 @@
     startAgent: async (worker, entries, backend) => {
       const process = start(['agent'], {
         worker,
-        failureDomain,
+        failureDomain: FAILURE_DOMAIN,
         slots: 8,
         resources: { cores: 16, memoryMb: 32768 },
         backend: { url: `${backend}/run` },
