Do not call a refusal final while its idempotency key can run later

Cause: a key whose job was refused could be bound to another id by a delayed duplicate of the request, after its caller had been told a final not-run. The refusal of such a key now has final: false; only a cancellation stays final. The test asks for both.

--- a/packages/entry/src/idempotency.test.ts
+++ b/packages/entry/src/idempotency.test.ts
@@ -70,7 +70,8 @@
   const refuse = (reason: types.RefusalReason) => async (given: types.Submission): Promise<types.Outcome> =>
     ({ kind: 'not-run', job: given.id!, reason, final: true })
 
-  // A key whose job was refused for good must be usable again, but a cancelled job must stay cancelled.
+  // A key whose job was refused for good must be usable again, but a cancelled job must stay cancelled. A refusal
+  // called final would be false if a delayed duplicate of the request ran the job under another id.
   it('binds another id only after a final refusal that was not a cancellation', async () => {
     const table = new memoryTable.MemoryTable()
     const keys = entry(table, 'one')
@@ -78,12 +79,13 @@
     const once = (run: (given: types.Submission) => Promise<types.Outcome>) =>
       submit.withKey({ keys, requests: { submit: run } }, submission, 'k', 0, signal)
     const first = await once(refuse('overload'))
+    expect(first).to.include({ kind: 'not-run', final: false })
     const again = await once(async (given) => given.id === first!.job
       ? refuse('overload')(given)
       : { kind: 'pending', job: given.id! })
     expect(again).to.include({ kind: 'pending' }).and.not.include({ job: first!.job })
     const cancelled = await once(refuse('cancelled'))
-    expect(cancelled).to.deep.include({ reason: 'cancelled', job: again!.job })
+    expect(cancelled).to.deep.include({ reason: 'cancelled', job: again!.job, final: true })
     expect(await once(refuse('cancelled'))).to.deep.equal(cancelled)
   })
 })
--- a/packages/entry/src/submit.ts
+++ b/packages/entry/src/submit.ts
@@ -14,6 +14,13 @@
   outcome.kind === 'not-run' && outcome.final && outcome.reason !== 'cancelled' &&
   (!binding.fresh || OWNER_REASONS.has(outcome.reason))
 
+/**
+ * A refusal of a key that may stand for another id later is not final for the key: a delayed duplicate of the request
+ * could still run the job under that id.
+ */
+const withoutFinalWord = (outcome: types.Outcome | undefined): types.Outcome | undefined =>
+  outcome?.kind === 'not-run' && outcome.reason !== 'cancelled' ? { ...outcome, final: false } : outcome
+
 /** Submits under the id that the key is bound to; undefined if the caller's connection closed first. */
 export const withKey = async (
   { requests, keys }: { requests: Pick<requests.Requests, 'submit'>, keys: idempotency.Keys },
@@ -22,8 +29,8 @@
   const bound = await keys.bind(submission.team, key)
   if (bound.kind === 'error') return bound.error
   const outcome = await requests.submit({ ...submission, id: bound.value.job }, waitMs, closed)
-  if (!outcome || !replaceable(outcome, bound.value)) return outcome
+  if (!outcome || !replaceable(outcome, bound.value)) return withoutFinalWord(outcome)
   const rebound = await keys.rebind(submission.team, key, bound.value)
   if (rebound.kind === 'error') return rebound.error
-  return requests.submit({ ...submission, id: rebound.value.job }, waitMs, closed)
+  return withoutFinalWord(await requests.submit({ ...submission, id: rebound.value.job }, waitMs, closed))
 }
