Bound the bodies that an entry receives at a time, and test its services

Many large bodies at a time would exhaust the memory of an entry, so new requests are refused as not run above a total. Connections whose callers no longer read end after the longest wait. An outcome of another job is never passed on. The executable carries V8's code cache.

--- a/packages/entry/src/driver.ts
+++ b/packages/entry/src/driver.ts
@@ -56,7 +56,7 @@
     cancelTimer?.()
     cancelTimer = undefined
     const deadline = core.deadline()
-    if (deadline === undefined || stopped) return
+    if (deadline === undefined || deadline === Infinity || stopped) return
     cancelTimer = timers.after(Math.max(0, deadline - timers.monotonic()), () => input({ kind: 'timer' }))
   }
   /** Inputs that arise while effects are carried out wait for their turn. */
--- a/packages/entry/src/http/body.ts
+++ b/packages/entry/src/http/body.ts
@@ -1,8 +1,11 @@
 import * as bodyparser from '@koa/bodyparser'
 import type * as koa from 'koa'
+import type * as limits from './limits.ts'
 import * as invalid from './invalid.ts'
 import * as reply from './reply.ts'
 
+type Bounds = Pick<limits.Limits, 'maxBodyBytes' | 'maxReceivingBytes'>
+
 interface ParseFailure extends Error {
   status?: number
   type?: string
@@ -19,20 +22,37 @@
   return invalid.create('malformed-json', `the body is not valid JSON: ${invalid.quote(failure.message)}`)
 }
 
-/** Parses JSON bodies of `POST` requests; a body of another media type is refused. */
-export const parser = (maxBodyBytes: number): koa.Middleware => {
+const RETRY_AFTER_MS = 1000
+
+/**
+ * Parses JSON bodies of `POST` requests; a body of another media type is refused. A body of unknown length counts with
+ * `maxBodyBytes` against the bytes that may be received at a time.
+ */
+export const parser = ({ maxBodyBytes, maxReceivingBytes }: Bounds): koa.Middleware => {
   const parse = bodyparser.bodyParser({ enableTypes: ['json'], jsonLimit: maxBodyBytes, jsonStrict: true })
+  let receivingBytes = 0
+
   return async (context, next) => {
     if (context.method !== 'POST') return next()
     if (!context.is('application/json')) {
       const refusal = invalid.create('unsupported-media-type', 'the body must have content-type application/json')
       return reply.refuse(context, refusal)
     }
+    const bytes = Math.min(context.request.length ?? maxBodyBytes, maxBodyBytes)
+    if (receivingBytes + bytes > maxReceivingBytes) {
+      context.set('Connection', 'close')
+      return reply.outcome(context, {
+        kind: 'not-run', reason: 'overload', final: false, retryAfterMs: RETRY_AFTER_MS
+      })
+    }
+    receivingBytes += bytes
     try {
       await parse(context, async () => {})
     } catch (failure) {
       context.set('Connection', 'close')
       return reply.refuse(context, explain(failure as ParseFailure, maxBodyBytes))
+    } finally {
+      receivingBytes -= bytes
     }
     return next()
   }
--- a/packages/entry/src/http/limits.ts
+++ b/packages/entry/src/http/limits.ts
@@ -1,6 +1,8 @@
 /** Bounds on one caller's request. */
 export interface Limits {
   maxBodyBytes: number
+  /** Bytes of all bodies that are being received; above it, new requests are refused as not run. */
+  maxReceivingBytes: number
   maxHeaderBytes: number
   /** Time for the whole header to arrive, in ms. */
   headersTimeoutMs: number
@@ -19,6 +21,7 @@
 
 export const defaults: Limits = {
   maxBodyBytes: 1_048_576,
+  maxReceivingBytes: 67_108_864,
   maxHeaderBytes: 16_384,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 30_000,
@@ -28,3 +31,10 @@
   maxOpenRequests: 50_000,
   maxConnections: 20_000
 }
+
+/** Bodies being received at a time that the memory allows for, if each is as large as it may be. */
+const LARGEST_BODIES = 8
+
+export const create = (maxBodyBytes: number): Limits => ({
+  ...defaults, maxBodyBytes, maxReceivingBytes: Math.max(defaults.maxReceivingBytes, LARGEST_BODIES * maxBodyBytes)
+})
--- a/packages/entry/src/http/server.test.ts
+++ b/packages/entry/src/http/server.test.ts
@@ -4,6 +4,7 @@
 import * as fc from 'fast-check'
 import type * as core from '@mustarddeck/entry-core'
 import type * as types from '@mustarddeck/types'
+import * as memoryTable from '../testing/memory-table.ts'
 import * as harness from '../testing/harness.ts'
 
 const JOB = 'abcdefgh.r0.1.7'
@@ -112,6 +113,29 @@
     expect(server.core.submitted()).to.equal(0)
   })
 
+  it('survives callers that disconnect in the middle of a body', async () => {
+    server = await harness.start(complete)
+    const port = Number(new URL(server.url).port)
+    await Promise.all(Array.from({ length: 20 }, () => new Promise<void>((resolve) => {
+      const socket = net.connect(port, '127.0.0.1', () => {
+        socket.write('POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 500\r\n\r\n{',
+          () => socket.resetAndDestroy())
+      })
+      socket.on('close', () => resolve())
+    })))
+    expect((await post(server.url, valid())).status).to.equal(200)
+    expect(server.core.submitted()).to.equal(1)
+  })
+
+  // Many large bodies at a time would exhaust the memory of the process.
+  it('refuses bodies above the bytes that may be received at a time', async () => {
+    server = await harness.start(complete, { maxReceivingBytes: 10 })
+    const response = await post(server.url, valid())
+    expect(response.status).to.equal(503)
+    expect(await response.json()).to.include({ kind: 'not-run', reason: 'overload', final: false })
+    expect(server.core.submitted()).to.equal(0)
+  })
+
   // Arbitrary bodies must never run or stop the process; only a valid submission reaches the decision code.
   it('survives fuzzed bodies', async () => {
     server = await harness.start(complete)
@@ -176,6 +200,14 @@
     expect(answers).to.deep.equal(Array.from({ length: callers }, (_, at) => at))
   })
 
+  it('does not pass on an outcome of another job', async () => {
+    server = await harness.start((input) => input.kind === 'inquire'
+      ? [{ kind: 'answer', request: input.request, outcome: { kind: 'complete', job: JOB as types.JobId, results: [] } }]
+      : [])
+    const response = await fetch(`${server.url}/v1/jobs/abcdefgh.r0.1.8`)
+    expect(await response.json()).to.include({ kind: 'unknown', job: 'abcdefgh.r0.1.8' })
+  })
+
   it('tells the decision code that a caller disconnected, and drops the late answer', async () => {
     let arrived = (): void => {}
     let abandoned = (): void => {}
@@ -216,6 +248,24 @@
     expect(server.core.submitted()).to.equal(0)
   })
 
+  // Another request with the key may have started the job, so the refusal claims nothing about the key.
+  it('binds requests with one key to one id, and refuses them without a final word while the store is down', async () => {
+    const table = new memoryTable.MemoryTable()
+    server = await harness.start(complete, { table })
+    const send = async (key: string, body: object = valid()) => {
+      const response = await post(server.url, body, { 'idempotency-key': key })
+      return await response.json() as types.Outcome
+    }
+    const first = await send('one')
+    expect(await send('one')).to.deep.equal(first)
+    expect((await send('two')).job).not.to.equal(first.job)
+    expect((await send('one', { ...valid(), team: 'others' })).job).not.to.equal(first.job)
+    const submitted = server.core.submitted()
+    table.faults.push('unavailable')
+    expect(await send('three')).to.include({ kind: 'not-run', reason: 'store-unavailable', final: false })
+    expect(server.core.submitted()).to.equal(submitted)
+  })
+
   it('needs the bearer token for the operator API', async () => {
     server = await harness.start(() => [])
     for (const authorization of ['', 'Bearer', 'Bearer wrong', `Basic ${harness.TOKEN}`]) {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -11,6 +11,7 @@
 
 /** Time in ms between checks of header and request time-outs. */
 const CHECK_INTERVAL_MS = 500
+const IDLE_MARGIN_MS = 30_000
 
 export interface Parts extends jobs.Parts {
   operator: operator.Parts
@@ -103,7 +104,7 @@
   const router = routes(parts)
   const app = new Koa()
   app.silent = true
-  app.use(guard(parts)).use(unmatched).use(body.parser(limits.maxBodyBytes))
+  app.use(guard(parts)).use(unmatched).use(body.parser(limits))
     .use(router.routes()).use(router.allowedMethods())
   const server = http.createServer({
     maxHeaderSize: limits.maxHeaderBytes,
@@ -113,6 +114,8 @@
     connectionsCheckingInterval: CHECK_INTERVAL_MS
   }, app.callback())
   server.maxConnections = limits.maxConnections
+  // Ends connections whose callers no longer read; every other pause is shorter.
+  server.setTimeout(limits.maxWaitMs + IDLE_MARGIN_MS)
   server.on('clientError', refuseRaw)
 
   return {
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -176,7 +176,7 @@
   const server = servers.create({
     requests,
     keys,
-    limits: { ...limits.defaults, maxBodyBytes: given.http.maxBodyBytes },
+    limits: limits.create(given.http.maxBodyBytes),
     refused: measured.refused,
     operator: {
       token: given.operators?.token,
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -19,6 +19,8 @@
 
 export type Answer = Extract<core.Effect, { kind: 'answer' | 'reserved' | 'reserve-refused' }>
 
+const RETRY_AFTER_MS = 1000
+
 /** Each request has an id of its own that is never used again, and its answer is taken once. */
 export const create = (input: (input: core.Input) => void): Requests => {
   const waiting = new Map<types.RequestId, (effect: Answer | undefined) => void>()
@@ -41,15 +43,20 @@
     if (abandon) closed?.removeEventListener('abort', abandon)
     return effect
   }
-  const outcome = async (make: (request: types.RequestId) => core.Input, closed?: AbortSignal) => {
+  /** An outcome of another job, which only a faulty peer can send, is not given to the caller. */
+  const outcome = async (
+    make: (request: types.RequestId) => core.Input, closed?: AbortSignal, job?: types.JobId
+  ): Promise<types.Outcome | undefined> => {
     const effect = await ask(make, closed)
-    return effect?.kind === 'answer' ? effect.outcome : undefined
+    if (effect?.kind !== 'answer') return undefined
+    if (job === undefined || effect.outcome.job === undefined || effect.outcome.job === job) return effect.outcome
+    return { kind: 'unknown', job, reason: 'owner-unreachable', retryAfterMs: RETRY_AFTER_MS }
   }
   return {
     submit: (submission, waitMs, closed) =>
-      outcome((request) => ({ kind: 'submit', request, submission, waitMs }), closed),
-    inquire: (job, waitMs, closed) => outcome((request) => ({ kind: 'inquire', request, job, waitMs }), closed),
-    cancel: (job, waitMs, closed) => outcome((request) => ({ kind: 'cancel', request, job, waitMs }), closed),
+      outcome((request) => ({ kind: 'submit', request, submission, waitMs }), closed, submission.id),
+    inquire: (job, waitMs, closed) => outcome((request) => ({ kind: 'inquire', request, job, waitMs }), closed, job),
+    cancel: (job, waitMs, closed) => outcome((request) => ({ kind: 'cancel', request, job, waitMs }), closed, job),
     reserve: async (count, closed) => {
       const effect = await ask((request) => ({ kind: 'reserve', request, count }), closed)
       if (effect?.kind === 'reserved') return { kind: 'reserved', reservation: effect.reservation }
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -1,7 +1,7 @@
 import * as clock from '@mustarddeck/clock'
 import type * as core from '@mustarddeck/entry-core'
 import type * as errors from '@mustarddeck/errors'
-import type * as log from '@mustarddeck/log'
+
 import type * as platform from '@mustarddeck/platform'
 import * as driver from '../driver.ts'
 import * as idSource from '../id-source.ts'
@@ -9,13 +9,12 @@
 import * as requests from '../requests.ts'
 import type * as status from '../status.ts'
 import * as fakeCore from './fake-core.ts'
+import * as silentLog from './silent-log.ts'
 import * as limits from '../http/limits.ts'
 import * as server from '../http/server.ts'
 
 export const TOKEN = 'token-of-the-test-operator'
 
-const silent: log.Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {}, with: () => silent }
-
 export interface Harness {
   url: string
   core: fakeCore.FakeCore
@@ -57,7 +56,7 @@
   const run = driver.create({
     core,
     timers,
-    log: silent,
+    log: silentLog.create(),
     links: () => ({ send: () => {}, close: () => {} }),
     requests: () => open,
     registry: { fence: unavailable, depart: unavailable }
@@ -76,7 +75,7 @@
       drain: (target) =>
         target === 'entry-1' ? { kind: 'ok', value: undefined } : { kind: 'error', error: 'unknown-target' }
     },
-    log: silent,
+    log: silentLog.create(),
     name: 'entry-1',
     draining: () => draining,
     configured: () => configured,
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -32,7 +32,7 @@
 })
 const config = path.join(dist, 'sea.json')
 fs.writeFileSync(config, JSON.stringify({
-  main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: false, assets: assets()
+  main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: true, assets: assets()
 }))
 childProcess.execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' })
 fs.copyFileSync(process.execPath, executable)
