Test disconnecting callers and a store outage with real processes

Conclusion: a job whose caller disconnects goes on, and its resubmission through another entry gets the whole outcome. While the store is down, work without keys completes; with half of the store's answers lost, four requests with one key through two entries get one job.

--- a/packages/mustarddeck/src/failures.test.ts
+++ b/packages/mustarddeck/src/failures.test.ts
@@ -1,3 +1,4 @@
+import * as http from 'node:http'
 import { expect } from 'chai'
 import * as client from '@mustarddeck/client'
 import * as clock from '@mustarddeck/clock'
@@ -32,15 +33,14 @@
   let deployment: processes.Deployment
   let entries: Entry[]
   let backend: string
+  let platform: string
   const clients: client.Client[] = []
   let tokens = 0
 
   beforeEach(async () => {
     deployment = processes.deploy()
-    const [platform, shared] = await Promise.all([
-      deployment.startPlatform(), deployment.startBackend(), samples.load('corkbook')
-    ])
-    backend = shared
+    platform = await deployment.startPlatform()
+    backend = await deployment.startBackend()
     const first = await deployment.startEntry('entry-1', [])
     const second = await deployment.startEntry('entry-2', [first.address])
     entries = [first, second]
@@ -70,6 +70,20 @@
       { deadlineMs: DEADLINE_MS, retryRefused: true })
     return { tasks, result }
   }
+  const post = async (entry: Entry, path: string, body: object, headers = {}): Promise<unknown> => {
+    const response = await fetch(entry.url + path, {
+      method: 'POST', headers: { 'content-type': 'application/json', ...headers }, body: JSON.stringify(body)
+    })
+    return response.json()
+  }
+  /** Submits the job and cuts the connection as soon as the request is sent. */
+  const disconnect = (entry: Entry, job: object): Promise<void> => new Promise((resolve) => {
+    const request = http.request(`${entry.url}/v1/jobs`, {
+      method: 'POST', headers: { 'content-type': 'application/json' }
+    })
+    request.on('error', () => {}).on('close', () => resolve())
+    request.end(JSON.stringify(job), () => request.destroy())
+  })
   /** Submits all jobs at once; `disturb` runs when the first of them has its outcome, while others are in progress. */
   const submitAll = async (through: client.Client[], disturb: () => void): Promise<Submitted[]> => {
     const submissions = Array.from({ length: JOBS }, (_, at) => submit(through[at % through.length]!))
@@ -128,6 +142,41 @@
     expect(count(afterwards)).to.deep.equal({ complete: 10 })
   })
 
+  // A caller whose connection breaks resubmits, and the job that went on must not run again.
+  it('go on with a job whose caller disconnects, and answer its resubmission elsewhere', async () => {
+    const [first, second] = entries as [Entry, Entry]
+    const reserved = await post(first, '/v1/id-blocks', { count: 10 }) as { prefix: string, first: number }
+    const submitted = await Promise.all(Array.from({ length: 10 }, async (_, at): Promise<Submitted> => {
+      const id = `${reserved.prefix}.${reserved.first + at}`
+      const job = { id, team: 'depots', type: 'delivery-booking', tasks: makeTasks() }
+      await disconnect(first, job)
+      const again = await post(second, '/v1/jobs?waitMs=20000', job) as types.Outcome
+      expect(again.job).to.equal(id)
+      return { tasks: job.tasks, result: { kind: 'ok', value: again } }
+    }))
+    await check(submitted)
+    expect(count(submitted)).to.deep.equal({ complete: 10 })
+  })
+
+  it('work on while the store is down, and refuse keys without a final word', async () => {
+    const [first, second] = entries as [Entry, Entry]
+    const faults = (change: object) => fetch(`${platform}/faults`, {
+      method: 'PATCH', headers: { 'content-type': 'application/json' }, body: JSON.stringify(change)
+    })
+    const job = { team: 'depots', type: 'delivery-booking', tasks: makeTasks() }
+    const key = { 'idempotency-key': 'delivery-7' }
+    expect((await faults({ down: true })).status).to.equal(200)
+    const submitted = await Promise.all(Array.from({ length: 10 }, () => submit(connect([first.url]))))
+    await check(submitted)
+    expect(count(submitted)).to.deep.equal({ complete: 10 })
+    expect(await post(first, '/v1/jobs', job, key)).to.include({ kind: 'not-run', final: false })
+    expect((await faults({ down: false, lostAnswers: 0.5 })).status).to.equal(200)
+    const keyed = await Promise.all([first, second, first, second].map((entry) => post(entry, '/v1/jobs', job, key)))
+    expect(keyed.map((outcome) => (outcome as types.Outcome).kind)).to.deep.equal(keyed.map(() => 'complete'))
+    expect(new Set(keyed.map((outcome) => (outcome as types.Outcome).job)).size).to.equal(1)
+    await check([])
+  })
+
   it('answers every request in progress on SIGTERM and hands the outcomes over', async () => {
     const [first, second] = entries as [Entry, Entry]
     const body = (): string => JSON.stringify({ team: 'depots', type: 'delivery-booking', tasks: makeTasks() })
