--- a/packages/explore/src/check.ts
+++ b/packages/explore/src/check.ts
@@ -174,13 +174,12 @@
 
 /** The backend server's work is aborted only on a caller's wish, or for a job that may run again after a failure. */
 const checkAborts = (run: runs.Record, report: Report): void => {
-  const jobs = new Map(run.callers.jobs.map((job) => [job.id, job]))
+  const { requests } = run.callers
+  const idempotent = new Set(requests.flatMap(({ content }) => content?.idempotent ? content.token : []))
+  const cancelled = new Set(requests.flatMap(({ kind, job }) => kind === 'cancel' ? job.id : []))
   for (const start of run.starts) {
     if (start.end?.kind !== 'cancelled') continue
-    const job = jobs.get(start.job)
-    const isWanted = job?.content.idempotent || job?.requests.some((request) => request.kind === 'cancel' ||
-      request.content?.idempotent)
-    if (!isWanted) report('nothing in progress is cut', JSON.stringify(start))
+    if (!idempotent.has(start.token) && !cancelled.has(start.job)) report('nothing in progress is cut', JSON.stringify(start))
   }
 }
 
