End a waiting job when its block is to retire

Cause: with agents at their byte limit, a partly started job waited for memory that only the retirement of blocks frees, and the open job kept its own and all later blocks from retiring. It stayed pending for good.

What still waits of a job when its block's time is over is withdrawn, so the job ends as failed or not-run and the block retires. The schedule is kept as a test.

Remaining: an agent at its byte limit grants the slot again at once and placement sends the same task there again at once, about one start and one rejection per ms (8,084 lines in this schedule). Placement backs off after no-resources, but not after memory-limit.

--- a/packages/entry-core/src/core.ts
+++ b/packages/entry-core/src/core.ts
@@ -168,6 +168,7 @@
 
   const retire = (): void => {
     retireAt = context.now() + RETIRE_MS
+    owned.expireOverdue()
     const retirements = ledger.retire(context.now())
     for (const incarnation of succession.expire()) retirements.push({ incarnation, block: Number.MAX_SAFE_INTEGER })
     for (const { incarnation, block } of retirements) {
--- a/packages/entry-core/src/owned-jobs.ts
+++ b/packages/entry-core/src/owned-jobs.ts
@@ -29,6 +29,8 @@
   fenced (incarnation: types.Incarnation): void
   /** Withdraws jobs that waited too long. */
   expireWaiting (): void
+  /** Withdraws what still waits of jobs whose block is to retire. */
+  expireOverdue (): void
   /** Jobs with tasks on an agent that has been absent since before this time. */
   unresolvedOn (incarnation: types.Incarnation): types.JobId[]
   /** Jobs without an outcome. */
@@ -260,6 +262,9 @@
         if (job) stop(job, 'queue-time')
       }
     },
+    expireOverdue: () => {
+      for (const job of ledger.overdue(context.now())) stop(job, 'queue-time')
+    },
     unresolvedOn: (incarnation) => [...byAgent.get(incarnation)?.keys() ?? []],
     open: () => open.size,
     inProgress: () => inProgress
--- a/packages/explore/src/findings.ts
+++ b/packages/explore/src/findings.ts
@@ -87,5 +87,40 @@
         ...[2, 3, 4].map((process) => ({ at: 4771, kind: 'crash' as const, process, silent: false, downMs: 10 }))
       ]
     }
+  },
+  {
+    cause: 'a job that waited for memory kept the blocks whose records filled the memory from retiring',
+    schedule: {
+      seed: 668539294,
+      profile: {
+        blockLifetimeMs: 3000,
+        blockRetentionMs: 5000,
+        removeAgentAfterMs: 4000,
+        orphanAfterMs: 8000,
+        orphanRetentionMs: 2000,
+        entryBytes: 14_000,
+        agentBytes: 2500
+      },
+      storeDownMs: 0,
+      events: [
+        { at: 64, kind: 'submit', runMs: [20, 20, 527, 20], idempotent: false, issuer: 3, entry: 1, waitMs: 0 },
+        { at: 82, kind: 'crash', process: 2, silent: false, downMs: 3082 },
+        { at: 812, kind: 'conflict', job: 0, entry: 5 },
+        { at: 1090, kind: 'submit', runMs: [201, 223, 586], idempotent: false, issuer: 8, entry: 11, waitMs: 5000 },
+        { at: 1426, kind: 'submit', runMs: [211, 187, 35, 865, 524], idempotent: true, issuer: 1, entry: 1, waitMs: 0 },
+        { at: 1636, kind: 'split', sides: 23, durationMs: 5566 },
+        { at: 1958, kind: 'submit', runMs: [42, 73, 80, 155, 177], idempotent: true, issuer: 3, entry: 6, waitMs: 1000 },
+        { at: 2270, kind: 'join', role: 'entry' },
+        { at: 2529, kind: 'submit', runMs: [553, 413, 293, 645], idempotent: false, issuer: 0, entry: 2, waitMs: 5000 },
+        {
+          at: 2637, kind: 'submit', runMs: [370, 217, 2725, 2743, 170], idempotent: false, issuer: 9, entry: 9, waitMs: 100
+        },
+        { at: 2865, kind: 'cancel', job: 8, entry: 4 },
+        { at: 2968, kind: 'partition', a: 1, b: 0, durationMs: 4500 },
+        { at: 8036, kind: 'pause', process: 1, durationMs: 5543 },
+        { at: 11_152, kind: 'partition', a: 1, b: 2, durationMs: 283 },
+        { at: 11_160, kind: 'submit', runMs: [470, 373, 252, 136, 61], idempotent: true, issuer: 8, entry: 3, waitMs: 100 }
+      ]
+    }
   }
 ]
--- a/packages/ledger/src/ledger.test.ts
+++ b/packages/ledger/src/ledger.test.ts
@@ -26,6 +26,8 @@
     const job: ledger.Entry = { id: idOf(issue, 0), bytes: 100 }
     book.add(job)
     expect(book.lookup(idOf(issue, 1), 100).kind).to.equal('closed')
+    expect(book.overdue(149)).to.deep.equal([])
+    expect(book.overdue(150)).to.deep.equal([job])
     expect(book.retire(1000)).to.deep.equal([])
     job.outcome = { kind: 'expired', job: job.id }
     expect(book.retire(149)).to.deep.equal([])
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -62,6 +62,8 @@
   resize (job: Job, bytes: number): void
   /** Marks an id as finally refused, so that it never runs. */
   refuse (id: types.JobId, reason: types.RefusalReason): void
+  /** Jobs without an outcome in blocks whose time is over; they keep their block and later ones from retiring. */
+  overdue (now: number): Job[]
   /** Retires blocks whose time is over and whose jobs all have an outcome. */
   retire (now: number): Retirement[]
   retired (incarnation: types.Incarnation): number
@@ -172,6 +174,10 @@
       const block = locate(id)
       if (block) blocks.refuse(block, id.sequence, reason)
     },
+    overdue: (now) => [...owners.values()]
+      .flatMap(({ blocks }) => [...blocks.values()])
+      .filter((block) => now >= block.retiresAt)
+      .flatMap((block) => [...block.jobs.values()].filter((job) => !job.outcome)),
     retire: (now) => [...owners]
       .filter(([, owner]) => retireOwner(owner, now))
       .map(([owner, { retired }]) => ({ incarnation: owner, block: retired })),
