Measure the agent process and limit its young generation

V8 lets the young generation grow under the short-lived objects of calls; the agent command now keeps it at its first size.

--- a/packages/agent/src/calls.ts
+++ b/packages/agent/src/calls.ts
@@ -55,6 +55,14 @@
   // Every call has a connection of its own. On a kept connection that the backend server closes at the same moment,
   // nobody could tell whether the task was started.
   const agent = new http.Agent({ keepAlive: false })
+  const client = got.got.extend({
+    agent: { http: agent },
+    timeout: { connect: CONNECT_TIMEOUT_MS },
+    retry: { limit: 0 },
+    followRedirect: false,
+    throwHttpErrors: false,
+    decompress: false
+  })
   const calls = new Map<string, Call>()
   const keyOf = (job: types.JobId, index: number): string => `${job}/${index}`
 
@@ -69,7 +77,7 @@
   }
 
   const post = (start: messages.Start, body: string, call: Call): Promise<got.Response<string>> => {
-    const request = got.got.post(url, {
+    const request = client.post(url, {
       body,
       headers: {
         'content-type': 'application/json',
@@ -78,17 +86,9 @@
         'mustarddeck-attempt': String(start.attempt),
         'mustarddeck-time-limit-ms': String(start.limitMs)
       },
-      agent: { http: agent },
       request: track(call),
       signal: call.controller.signal,
-      timeout: {
-        connect: CONNECT_TIMEOUT_MS,
-        request: Math.min(MAX_TIMEOUT_MS, Math.max(1, Math.ceil(start.limitMs)))
-      },
-      retry: { limit: 0 },
-      followRedirect: false,
-      throwHttpErrors: false,
-      decompress: false
+      timeout: { request: Math.min(MAX_TIMEOUT_MS, Math.max(1, Math.ceil(start.limitMs))) }
     })
     request.on('downloadProgress', ({ transferred }) => {
       if (transferred > maxResultBytes) stop(call, 'size')
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,2 @@
 export * from './agent.ts'
-export { start, type Running } from './start.ts'
+export { limitMemory, start, type Running } from './start.ts'
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -5,6 +5,7 @@
 import * as random from '@mustarddeck/random'
 import type * as settings from '@mustarddeck/settings'
 import * as crypto from 'node:crypto'
+import * as v8 from 'node:v8'
 import * as agents from './agent.ts'
 
 export interface Running {
@@ -17,6 +18,12 @@
 
 const MAX_SEED = 0x7fffffff
 
+/**
+ * Keeps V8's young generation at its first size. By default it grows to 16 MB and more under the short-lived objects
+ * of calls. For a process that runs nothing but an agent; call it first.
+ */
+export const limitMemory = (): void => v8.setFlagsFromString('--semi-space-growth-factor=1')
+
 /** Starts an agent on the system's clock and the platform that the settings name. */
 export const start = async (loaded: settings.Agent): Promise<Running> => {
   const timers = clock.createSystem()
--- a/packages/agent/src/testing/harness.ts
+++ b/packages/agent/src/testing/harness.ts
@@ -10,12 +10,12 @@
 import type * as types from '@mustarddeck/types'
 import * as agents from '../agent.ts'
 
-const KEY = 'a shared key of the tests'
+export const KEY = 'a shared key of the tests'
 const LOCALHOST = '127.0.0.1'
 const OWNER = 'entry00incarnation' as types.Incarnation
 const seed = Number(process.env['SEED'] ?? 1)
 
-const load = <Role extends settings.Role>(role: Role, text: string): settings.SettingsOf<Role> => {
+export const load = <Role extends settings.Role>(role: Role, text: string): settings.SettingsOf<Role> => {
   const result = settings.parse(role, text, 'test.toml')
   if (result.kind === 'error') throw new Error(result.error.map(settings.format).join('\n'))
   return result.value
@@ -37,7 +37,7 @@
 }
 
 /** An entry's end of a link: keeps what the agent sends, and sends what the test wants. */
-const createEntry = async (timers: clock.Timers) => {
+export const createEntry = async (timers: clock.Timers) => {
   const { changed, until } = createWaiting()
   const received: messages.Message[] = []
   const hellos: messages.Hello[] = []
@@ -96,6 +96,12 @@
       const place = received.findIndex(isWanted)
       return place >= 0 && received.splice(place, 1)[0] as messages.MessageOf<Kind>
     }),
+    /** Traffic of the links in both directions. */
+    traffic: () => {
+      const { sent, received } = links.counts()
+      const messages = [...sent.messages.values(), ...received.messages.values()]
+      return { bytes: sent.bytes + received.bytes, messages: messages.reduce((sum, count) => sum + count, 0) }
+    },
     stop: links.stop
   }
 }
--- a/packages/mustarddeck/src/commands/agent.ts
+++ b/packages/mustarddeck/src/commands/agent.ts
@@ -7,6 +7,7 @@
   builder: (parser) => parser.options(role.settingsOption),
   run: ({ settings }) => role.run('agent', settings, async (loaded) => {
     const agent = await import('@mustarddeck/agent')
+    agent.limitMemory()
     return agent.start(loaded)
   })
 }
