Stop a process while one of its links is being dialed

The test of the built executable failed in one run: an agent that was stopped while it dialed a stopped entry ended with exit code 1. Closing a connection attempt makes ws emit an error, on which the wait for the end of the socket was rejected. The wait now listens for the end only. The new test fails without the change.

--- a/packages/link/src/faults.test.ts
+++ b/packages/link/src/faults.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
 import * as clock from '@mustarddeck/clock'
 import * as random from '@mustarddeck/random'
+import { once } from 'node:events'
+import * as net from 'node:net'
 import * as backoff from './backoff.ts'
 import * as codec from './codec.ts'
 import * as peers from './testing/peers.ts'
@@ -190,6 +192,24 @@
     expect((await second.next('down')).reason).to.equal('by peer: address forgotten')
   })
 
+  // Closing a connection attempt is an error to the library; a process that stops must not fail on it.
+  it('stops while it dials an address that accepts connections and does not answer', async () => {
+    const sockets: net.Socket[] = []
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {})
+      sockets.push(socket)
+    })
+    server.listen(0, peers.LOCALHOST)
+    await once(server, 'listening')
+    const agent = start('agent')
+    agent.links.dial(`${peers.LOCALHOST}:${(server.address() as net.AddressInfo).port}`)
+    await once(server, 'connection')
+    await agent.links.stop()
+    expect(agent.events).to.deep.equal([])
+    sockets.forEach((socket) => socket.destroy())
+    server.close()
+  })
+
   // A fleet that dials a restarted entry in step would flood it; one that waits long leaves work unserved.
   it('spreads its attempts, the first within 100 ms and later ones within 2 s', () => {
     const generator = random.create(1)
--- a/packages/link/src/links.ts
+++ b/packages/link/src/links.ts
@@ -183,12 +183,12 @@
   const stop = async (): Promise<void> => {
     stopping = true
     for (const dial of dials.values()) dial.cancel()
-    const closed = [...open].map(async ([session, socket]) => {
-      if (socket.readyState === ws.WebSocket.CLOSED) return
-      const end = once(socket, 'close')
+    // A socket that is still connecting also emits an error when it is closed; the session handles it.
+    const closed = [...open].map(([session, socket]) => new Promise<void>((resolve) => {
+      if (socket.readyState === ws.WebSocket.CLOSED) return resolve()
+      socket.once('close', () => resolve())
       session.close('stopping')
-      await end
-    })
+    }))
     await Promise.all(closed)
     const listening = server
     if (listening) await new Promise((resolve) => listening.close(resolve))
