--- a/packages/mustarddeck/src/processes.test.ts
+++ b/packages/mustarddeck/src/processes.test.ts
@@ -31,6 +31,18 @@
     expect(outcome.kind).to.equal('complete')
     expect(outcome.results.map(({ name, result }) => ({ name, payload: result.payload }))).to.deep.equal(tasks)
 
+    // A cancellation must end a task that hangs before its time limit does.
+    const long = await fetch(`${entry.url}/v1/jobs?waitMs=0`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ ...sample.job, tasks: [{ name: 'long', payload: { fault: 'hang' } }] })
+    })
+    expect(long.status).to.equal(202)
+    const cancelled = await fetch(entry.url + long.headers.get('location'), { method: 'DELETE' })
+    expect(cancelled.status).to.equal(200)
+    const ending = await cancelled.json() as { kind: string, reason: string }
+    expect([ending.kind, ending.reason]).to.deep.equal(['failed', 'cancelled'])
+
     for (const process of [...deployment.processes()].reverse()) {
       process.kill('SIGTERM')
       expect(await process.exited, process.output()).to.equal(0)
