Show queues by task type in the status of an entry

Operators saw only totals of waiting and running tasks. The placement lists its task types with waiting or running tasks, and the status, its table and the metrics show them. Conclusion: the four-process test finds a running task under its type.

--- a/packages/entry-core/src/core.ts
+++ b/packages/entry-core/src/core.ts
@@ -246,6 +246,7 @@
       jobs: owned.open(),
       waitingTasks: placement.waiting(),
       runningTasks: owned.inProgress(),
+      backlog: placement.backlog(),
       agents: agents.size(),
       entries: entries.size(),
       bytes: ledger.bytes() + succession.bytes()
--- a/packages/entry-core/src/interface.ts
+++ b/packages/entry-core/src/interface.ts
@@ -1,4 +1,5 @@
 import type * as messages from '@mustarddeck/messages'
+import type * as placement from '@mustarddeck/placement'
 import type * as types from '@mustarddeck/types'
 
 /** Ids `<prefix>.<first>` to `<prefix>.<first + count - 1>` belong to the caller for `lifetimeMs`. */
@@ -61,6 +62,8 @@
   jobs: number
   waitingTasks: number
   runningTasks: number
+  /** By task type. */
+  backlog: placement.Backlog[]
   agents: number
   entries: number
   /** Approximate bytes of jobs, outcomes and blocks. */
--- a/packages/entry/src/http/answers.ts
+++ b/packages/entry/src/http/answers.ts
@@ -96,6 +96,9 @@
   jobs: Count,
   waitingTasks: Count,
   runningTasks: Count,
+  queues: Type.Array(Type.Object({
+    type: Name, priorityClass: Name, waiting: Count, running: Count, flooding: Type.Boolean()
+  }, closed), { description: 'Task types with waiting or running tasks.' }),
   bytes: Type.Number({ minimum: 0 }),
   entries: Type.Array(Peer),
   agents: Type.Array(Peer),
--- a/packages/entry/src/measurements.ts
+++ b/packages/entry/src/measurements.ts
@@ -32,6 +32,10 @@
     ['mustarddeck_linked_entries', 'Other entries with a link', () => core.status().entries]
   ]
   for (const [name, help, read] of gauges) registry.read('gauge', name, help, read)
+  for (const state of ['waiting', 'running'] as const) {
+    registry.read('gauge', `mustarddeck_type_${state}_tasks`, `Tasks by type that are ${state}`, () =>
+      core.status().backlog.map((one) => ({ labels: { type: one.type }, value: one[state] })))
+  }
   registry.read('counter', 'mustarddeck_refusals_total', 'Answers that nothing was run, by reason', () =>
     [...refusals].map(([reason, value]) => ({ labels: { reason }, value })))
   for (const direction of ['sent', 'received'] as const) {
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -148,7 +148,7 @@
   })
 
   const state = (): status.Status => {
-    const { incarnation: owner, draining, jobs, waitingTasks, runningTasks, bytes } = core.status()
+    const { incarnation: owner, draining, jobs, waitingTasks, runningTasks, backlog, bytes } = core.status()
     return {
       kind: 'status',
       name: name as types.EntryName,
@@ -160,6 +160,7 @@
       jobs,
       waitingTasks,
       runningTasks,
+      queues: backlog,
       bytes,
       entries: peers.list('entry'),
       agents: peers.list('agent'),
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,4 +1,5 @@
 import type * as messages from '@mustarddeck/messages'
+import type * as placement from '@mustarddeck/placement'
 import type * as types from '@mustarddeck/types'
 
 /** A process with a link to this entry. */
@@ -26,6 +27,8 @@
   jobs: number
   waitingTasks: number
   runningTasks: number
+  /** Waiting and running tasks by task type. */
+  queues: placement.Backlog[]
   bytes: number
   entries: Peer[]
   agents: Peer[]
--- a/packages/entry/src/testing/fake-core.ts
+++ b/packages/entry/src/testing/fake-core.ts
@@ -30,6 +30,7 @@
       jobs: 0,
       waitingTasks: 0,
       runningTasks: 0,
+      backlog: [],
       agents: 0,
       entries: 0,
       bytes: 0
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -3,6 +3,7 @@
 import type * as errors from '@mustarddeck/errors'
 
 import type * as platform from '@mustarddeck/platform'
+import type * as types from '@mustarddeck/types'
 import * as driver from '../driver.ts'
 import * as idSource from '../id-source.ts'
 import * as idempotency from '../idempotency.ts'
@@ -33,9 +34,21 @@
 
 const emptyStatus = (): status.Status => ({
   kind: 'status',
-  ...fakeCore.create(() => []).status(),
   name: 'entry-1' as status.Status['name'],
+  incarnation: 'abcdefgh' as status.Status['incarnation'],
   failureDomain: 'khangai-a' as status.Status['failureDomain'],
+  draining: false,
+  jobs: 0,
+  waitingTasks: 0,
+  runningTasks: 0,
+  bytes: 0,
+  queues: [{
+    type: 'payout' as types.TaskTypeName,
+    priorityClass: 'counter' as types.PriorityClassName,
+    waiting: 1,
+    running: 2,
+    flooding: false
+  }],
   configuration: 0,
   openRequests: 0,
   entries: [],
--- a/packages/mustarddeck/src/processes.test.ts
+++ b/packages/mustarddeck/src/processes.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type * as entries from '@mustarddeck/entry'
 import * as processes from './testing/processes.ts'
 import * as samples from './samples.ts'
 
@@ -38,6 +39,9 @@
       body: JSON.stringify({ ...sample.job, tasks: [{ name: 'long', payload: { fault: 'hang' } }] })
     })
     expect(long.status).to.equal(202)
+    const headers = { authorization: `Bearer ${processes.TOKEN}` }
+    const status = await (await fetch(`${entry.url}/v1/operator/status`, { headers })).json() as entries.Status
+    expect(status.queues.map(({ type, waiting, running }) => [type, waiting + running])).to.deep.equal([['weigh-in', 1]])
     const cancelled = await fetch(entry.url + long.headers.get('location'), { method: 'DELETE' })
     expect(cancelled.status).to.equal(200)
     const ending = await cancelled.json() as { kind: string, reason: string }
--- a/packages/mustarddeck/src/status-table.ts
+++ b/packages/mustarddeck/src/status-table.ts
@@ -29,12 +29,20 @@
       ]))
 }
 
+const queues = (states: entry.Status[]): string => {
+  const rows = states.flatMap(({ name, queues }) => queues.map(({ type, priorityClass, waiting, running, flooding }) =>
+    [name, type, priorityClass, waiting, running, flooding ? 'yes' : 'no']))
+  return rows.length === 0
+    ? 'no waiting or running tasks'
+    : table(['entry', 'task type', 'priority class', 'waiting', 'running', 'flooding'], rows)
+}
+
 const refusals = (states: entry.Status[]): string => {
   const rows = states.flatMap(({ name, refusals }) =>
     Object.entries(refusals).map(([reason, count]) => [name, reason, count]))
   return rows.length === 0 ? 'no refusals' : table(['entry', 'refused for', 'count'], rows)
 }
 
-/** Text for people: entries, processes linked to them, and refusals by reason. */
+/** Text for people: entries, processes linked to them, queues, and refusals by reason. */
 export const format = (states: entry.Status[]): string =>
-  [entries(states), peers(states), refusals(states)].join('\n\n')
+  [entries(states), peers(states), queues(states), refusals(states)].join('\n\n')
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -185,6 +185,13 @@
     return host ? this.reporter.of(host) : []
   }
 
+  override backlog (): placement.Backlog[] {
+    const types = [...this.queues.all()].filter(({ waiting, running }) => waiting + running > 0)
+    return types.map(({ rules, waiting, running, level, rank }) => ({
+      type: rules.name, priorityClass: rules.priorityClass, waiting, running, flooding: level !== rank
+    })).sort((one, other) => one.type < other.type ? -1 : 1)
+  }
+
   override waiting (): number {
     let waiting = 0
     for (const type of this.queues.active) waiting += type.waiting
--- a/packages/placement/src/interface.ts
+++ b/packages/placement/src/interface.ts
@@ -69,11 +69,23 @@
   abstract demand (link: types.LinkId): number[]
   /** Number of waiting tasks. */
   abstract waiting (): number
+  /** Task types with waiting or running tasks, in order of name. */
+  abstract backlog (): Backlog[]
   /** Decisions since the last call, one log line each: workers that leave or return to rotation, floods. */
   abstract decisions (): Decision[]
   abstract deadline (): number | undefined
 }
 
+/** Tasks of one type at this entry. */
+export interface Backlog {
+  type: types.TaskTypeName
+  priorityClass: types.PriorityClassName
+  waiting: number
+  running: number
+  /** The type's work waits behind that of all other types. */
+  flooding: boolean
+}
+
 /** Position of this entry in the sorted list of configured entries, and the length of that list. */
 export interface Position {
   index: number
