--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -5,7 +5,7 @@
 /** Entries, agents and jobs are meant by number, modulo how many there are at the time. Times are in ms. */
 export type Action =
   | { kind: 'submit', runMs: number[], idempotent: boolean, issuer: number | undefined, entry: number, waitMs: number }
-  | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number }
+  | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number, waitMs?: number }
   | { kind: 'duplicate', job: number, entry: number, other: number }
   | { kind: 'abandon', job: number }
   | { kind: 'crash', process: number, silent: boolean, downMs: number }
@@ -199,6 +199,28 @@
   ])
 })
 
+/** By then every entry has read the membership, so that new blocks start on registered agents. */
+const READY_MS = 2500
+const DEATH_FROM_MS = 2800
+const DEATH_TO_MS = 5000
+
+/** Entry 0 dies while its jobs run, with all agents reachable and the store up; entry 1 is asked for each job once. */
+export const ownerDeath = (silent: boolean): fc.Arbitrary<Schedule> => fc.record({
+  seed: fc.integer({ min: 1, max: 0x7fffffff }),
+  profile: fc.constant(unhurried),
+  storeDownMs: fc.constant(0),
+  events: fc.tuple(
+    fc.array(fc.tuple(fc.integer({ min: READY_MS, max: DEATH_FROM_MS }), ownJob), { minLength: 1, maxLength: 4, size: 'max' }),
+    fc.integer({ min: DEATH_FROM_MS, max: DEATH_TO_MS }),
+    fc.nat({ max: 1000 })
+  ).map(([submissions, deathAt, delayMs]): Event[] => [
+    ...submissions.map(([time, value]) => ({ at: time, ...value })),
+    { at: deathAt, kind: 'crash', process: 0, silent, downMs: 60_000 },
+    ...submissions.map((_, job) =>
+      ({ at: deathAt + delayMs, kind: 'resubmit' as const, job, entry: 1, waitMs: 20_000 }))
+  ])
+})
+
 /** One line per event, in order of time. */
 export const format = (value: Schedule): string => {
   const lines = [...value.events].sort((a, b) => a.at - b.at).map(({ at, kind, ...rest }) =>
--- a/packages/explore/src/run.ts
+++ b/packages/explore/src/run.ts
@@ -42,7 +42,7 @@
 export const TIME_LIMIT_MS = 2000
 const LEAVE_GRACE_MS = 3000
 const START_UP_MS = 300
-const SETTLE_MS = 4000
+export const SETTLE_MS = 4000
 /** All faults have ended: unknown owners are fenced, lost agents have departed, queues are served. */
 export const LIVENESS_MS = 25_000
 const RESUBMIT_INTERVAL_MS = 700
@@ -79,7 +79,7 @@
   if (!job) return
   if (action.kind === 'duplicate') {
     for (const index of [action.entry, action.entry, action.other]) side.resubmit(job, entry(index), 2000)
-  } else if (action.kind === 'resubmit') side.resubmit(job, entry(action.entry), 2000)
+  } else if (action.kind === 'resubmit') side.resubmit(job, entry(action.entry), action.waitMs ?? 2000)
   else side[action.kind](job, entry(action.entry))
 }
 
