--- a/packages/explore/src/main.ts
+++ b/packages/explore/src/main.ts
@@ -1,6 +1,7 @@
 import * as fs from 'node:fs'
 import yargs from 'yargs'
 import * as checks from './check.ts'
+import * as coverages from './coverage.ts'
 import * as real from './real-cores.ts'
 import * as runs from './run.ts'
 import * as searches from './search.ts'
@@ -26,7 +27,11 @@
 } else {
   const seed = options.seed ?? Math.floor(Math.random() * 0x7fffffff)
   print(`seed ${seed}, up to ${options.runs} runs`)
-  const result = searches.search({ cores: real.realCores, seed, count: options.runs, shrinkMs: options.shrink * 1000 })
+  const coverage = coverages.create()
+  const result = searches.search({
+    cores: real.realCores, seed, count: options.runs, shrinkMs: options.shrink * 1000, coverage
+  })
+  coverage.lines().forEach((line) => print(line))
   print(`${result.runs} runs in ${(result.elapsedMs / 1000).toFixed(1)} s, findings: ${result.finding ? 1 : 0}`)
   if (result.finding) {
     print(searches.describeFinding(result.finding))
--- a/packages/explore/src/search.ts
+++ b/packages/explore/src/search.ts
@@ -1,5 +1,6 @@
 import * as fc from 'fast-check'
 import * as checks from './check.ts'
+import type * as coverages from './coverage.ts'
 import * as events from './events.ts'
 import * as runs from './run.ts'
 
@@ -20,8 +21,13 @@
   checks.check(runs.run(schedule, cores))
 
 /** Runs up to `count` schedules; the first that breaks a promise is shrunk within `shrinkMs`. */
-export const search = ({ cores, seed, count, shrinkMs = 30_000, schedules = events.schedule }: {
-  cores: runs.Cores, seed: number, count: number, shrinkMs?: number, schedules?: fc.Arbitrary<events.Schedule>
+export const search = ({ cores, seed, count, shrinkMs = 30_000, schedules = events.schedule, coverage }: {
+  cores: runs.Cores
+  seed: number
+  count: number
+  shrinkMs?: number
+  schedules?: fc.Arbitrary<events.Schedule>
+  coverage?: coverages.Coverage
 }): Search => {
   const startedAt = performance.now()
   let firstFailureAt: number | undefined
@@ -29,7 +35,9 @@
   const property = fc.property(schedules, (schedule) => {
     // Shrinking keeps to the rule that was broken first, so that it does not drift to another fault.
     if (firstFailureAt !== undefined && performance.now() - firstFailureAt > shrinkMs) return true
-    const violations = violationsOf(schedule, cores)
+    const run = runs.run(schedule, cores)
+    coverage?.add(run)
+    const violations = checks.check(run)
     const failed = rule === undefined ? violations.length > 0 : violations.some((violation) => violation.rule === rule)
     if (failed && rule === undefined) {
       rule = violations[0]!.rule
