--- a/packages/mustarddeck/src/failures.test.ts
+++ b/packages/mustarddeck/src/failures.test.ts
@@ -12,10 +12,12 @@
 const JOBS = 80
 const MAX_TASKS = 4
 const MAX_RUN_MS = 400
+/** Slots of one worker. */
+const SLOTS = 8
 const DEADLINE_MS = 60_000
 
 type Result = errors.Result<types.Outcome, client.Failure>
-type Entry = Awaited<ReturnType<processes.Deployment['startEntry']>>
+type Entry = processes.EntryProcess
 
 interface Payload {
   token: string
@@ -37,19 +39,21 @@
   const clients: client.Client[] = []
   let tokens = 0
 
-  beforeEach(async () => {
+  /** Two entries, three workers with one backend server, and the sample's declarations. */
+  const boot = async (limits = {}): Promise<processes.Process[]> => {
     deployment = processes.deploy()
     platform = await deployment.startPlatform()
     backend = await deployment.startBackend()
-    const first = await deployment.startEntry('entry-1', [])
-    const second = await deployment.startEntry('entry-2', [first.address])
+    const first = await deployment.startEntry('entry-1', [], limits)
+    const second = await deployment.startEntry('entry-2', [first.address], limits)
     entries = [first, second]
     const addresses = entries.map(({ address }) => address)
-    await Promise.all(['worker-1', 'worker-2', 'worker-3'].map((worker) =>
+    const agents = await Promise.all(['worker-1', 'worker-2', 'worker-3'].map((worker) =>
       deployment.startAgent(worker, addresses, backend)))
     await samples.publish(samples.load('corkbook'), platform)
     await Promise.all(entries.map((entry) => deployment.ready(entry, 3)))
-  })
+    return agents
+  }
   afterEach(async () => {
     for (const created of clients.splice(0)) created.close()
     await deployment.stop()
@@ -100,7 +104,7 @@
     return counts
   }
   /** Every job has one final outcome, whole and its own, and no task was started twice under any id. */
-  const check = async (submitted: Submitted[]): Promise<void> => {
+  const check = async (submitted: Submitted[], failure: types.JobFailure = 'owner-lost'): Promise<void> => {
     const counts = count(submitted)
     expect(Object.keys(counts).filter((kind) => kind !== 'complete' && kind !== 'failed'),
       JSON.stringify(counts)).to.deep.equal([])
@@ -112,7 +116,7 @@
         }))
         expect(payloads).to.deep.equal(tasks)
       } else if (result.value.kind === 'failed') {
-        expect(result.value.reason).to.equal('owner-lost')
+        expect(result.value.reason).to.equal(failure)
         expect(result.value.tasks.map(({ name }) => name)).to.deep.equal(tasks.map(({ name }) => name))
       }
     }
@@ -122,6 +126,7 @@
 
   // A resubmission to another entry must neither run a task twice nor wait for the dead owner.
   it('start each task at most once when an entry is killed', async () => {
+    await boot()
     const [first, second] = entries as [Entry, Entry]
     const through = [connect([first.url, second.url]), connect([second.url, first.url])]
     const submitted = await submitAll(through, () => first.process.kill('SIGKILL'))
@@ -129,8 +134,18 @@
     expect(count(submitted)['complete']).to.be.greaterThan(JOBS / 2)
   })
 
+  // Tasks of a dead worker may have run. Their jobs must neither run elsewhere nor stay without an outcome.
+  it('settle the jobs of a worker that is killed', async () => {
+    const [agent] = await boot({ removeAgentAfterMs: 1000 })
+    const through = entries.map(({ url }) => connect([url]))
+    const submitted = await submitAll(through, () => agent!.kill('SIGKILL'))
+    await check(submitted, 'worker-lost')
+    expect(count(submitted)['failed']).to.be.within(1, SLOTS)
+  })
+
   // A paused owner wakes up with work in hand that others have meanwhile decided about.
   it('start each task at most once when an entry is paused and continues', async () => {
+    await boot()
     const [first, second] = entries as [Entry, Entry]
     const through = [connect([first.url, second.url]), connect([second.url, first.url])]
     const submitted = await submitAll(through, () => first.process.kill('SIGSTOP'))
@@ -144,6 +159,7 @@
 
   // A caller whose connection breaks resubmits, and the job that went on must not run again.
   it('go on with a job whose caller disconnects, and answer its resubmission elsewhere', async () => {
+    await boot()
     const [first, second] = entries as [Entry, Entry]
     const reserved = await post(first, '/v1/id-blocks', { count: 10 }) as { prefix: string, first: number }
     const submitted = await Promise.all(Array.from({ length: 10 }, async (_, at): Promise<Submitted> => {
@@ -159,6 +175,7 @@
   })
 
   it('work on while the store is down, and refuse keys without a final word', async () => {
+    await boot()
     const [first, second] = entries as [Entry, Entry]
     const faults = (change: object) => fetch(`${platform}/faults`, {
       method: 'PATCH', headers: { 'content-type': 'application/json' }, body: JSON.stringify(change)
@@ -178,6 +195,7 @@
   })
 
   it('answers every request in progress on SIGTERM and hands the outcomes over', async () => {
+    await boot()
     const [first, second] = entries as [Entry, Entry]
     const body = (): string => JSON.stringify({ team: 'depots', type: 'delivery-booking', tasks: makeTasks() })
     const headers = { 'content-type': 'application/json' }
--- a/packages/mustarddeck/src/testing/processes.ts
+++ b/packages/mustarddeck/src/testing/processes.ts
@@ -79,15 +79,22 @@
   }
 }
 
+export interface EntryProcess {
+  process: Process
+  url: string
+  /** Address of its links. */
+  address: string
+}
+
 /** Processes of one deployment on loopback with free ports; `stop` ends them all. */
 export interface Deployment {
   start (role: string[], settings: object): Process
   processes (): Process[]
   startPlatform (): Promise<string>
   startBackend (run?: object): Promise<string>
-  startEntry (name: string, entries: string[]): Promise<{ process: Process, url: string, address: string }>
+  startEntry (name: string, entries: string[], limits?: object): Promise<EntryProcess>
   /** Waits until the entry has a configuration and that many registered agents. */
-  ready (entry: { url: string, process: Process }, agents: number): Promise<void>
+  ready (entry: EntryProcess, agents: number): Promise<void>
   startAgent (worker: string, entries: string[], backend: string): Promise<Process>
   stop (): Promise<void>
 }
@@ -116,13 +123,14 @@
       const started = start(['backend', 'stand-in'], { run })
       return `http://${await started.field('backend-stand-in-started', 'address')}`
     },
-    startEntry: async (name, entries) => {
+    startEntry: async (name, entries, limits = {}) => {
       const process = start(['entry'], {
         name,
         failureDomain: FAILURE_DOMAIN,
         links: { entries, key: KEY },
         platform: { url: platform },
-        operators: { token: TOKEN }
+        operators: { token: TOKEN },
+        limits
       })
       const { http, links } = await process.logged('entry-started')
       return { process, url: `http://${http}`, address: links! }
