Keep an agent that only a stale read does not list

Cause: the rows of the membership are read side by side. With a new departure and members that are older than that, an agent that had just registered counted as departed: the owner gave its tasks up and told the agent to leave.

An agent that is not listed has departed only if the list of departures names it, or if that list does not reach back to the count known before.

--- a/packages/entry-core/src/memberships.ts
+++ b/packages/entry-core/src/memberships.ts
@@ -19,8 +19,10 @@
     update: (membership) => {
       if (departures !== undefined && membership.departures < departures) return false
       const listed = new Set(membership.members.map((member) => member.incarnation))
-      // With an equal departure count nobody has left: who is missing is only missing in a stale read.
-      const target = membership.departures === departures ? listed : departed
+      // The rows of members may be staler than the departures: who is missing has departed only if the list says so,
+      // unless the list does not reach back to what was known.
+      const isListWhole = membership.departures - (departures ?? 0) <= membership.departed.length
+      const target = isListWhole ? listed : departed
       for (const member of members) if (!listed.has(member)) target.add(member)
       for (const { incarnation } of membership.departed) departed.add(incarnation)
       for (const incarnation of departed) listed.delete(incarnation)
