--- a/packages/entry/src/http/invalid.ts
+++ b/packages/entry/src/http/invalid.ts
@@ -19,6 +19,8 @@
   | 'method-not-allowed'
   | 'unknown-target'
   | 'unknown-policy'
+  | 'too-many-draining'
+  | 'store-unavailable'
 
 /** `path` is a JSON pointer into the body. */
 export interface Problem {
@@ -55,9 +57,11 @@
   'unknown-policy': 404,
   'method-not-allowed': 405,
   'request-timeout': 408,
+  'too-many-draining': 409,
   'body-too-large': 413,
   'unsupported-media-type': 415,
-  'headers-too-large': 431
+  'headers-too-large': 431,
+  'store-unavailable': 503
 }
 
 /** HTTP status of the reason; 422 for a body that is JSON but not a valid request. */
--- a/packages/entry/src/http/openapi.test.ts
+++ b/packages/entry/src/http/openapi.test.ts
@@ -104,7 +104,9 @@
       await check('post', path, 'x', { 'content-type': 'text/plain' })
     }
     await check('post', '/v1/operator/drain', { target: 'entry-1' })
-    await check('post', '/v1/operator/drain', { target: 'entry-1' }, { authorization })
+    for (const target of ['entry-1', 'worker-1', 'worker-2']) {
+      await check('post', '/v1/operator/drain', { target }, { authorization })
+    }
     await check('post', '/v1/operator/drain', { target: 'entry-2' }, { authorization })
     await check('get', '/v1/operator/status')
     await check('get', '/v1/operator/status', undefined, { authorization })
--- a/packages/entry/src/http/openapi.ts
+++ b/packages/entry/src/http/openapi.ts
@@ -105,7 +105,13 @@
       security: token,
       requestBody: { required: true, content: json(schema.DrainRequest) },
       responses: responses({
-        202: ['Started.', answers.Draining], 400: invalid, 401: invalid, 404: invalid, ...invalidBody
+        202: ['Started.', answers.Draining],
+        400: invalid,
+        401: invalid,
+        404: invalid,
+        409: invalid,
+        503: invalid,
+        ...invalidBody
       })
     }
   },
--- a/packages/entry/src/http/operator.ts
+++ b/packages/entry/src/http/operator.ts
@@ -26,10 +26,17 @@
   drain: drains.Drain
 }
 
-const explain = (failure: drains.Failure, target: string, policy = ''): invalid.Invalid =>
-  failure === 'unknown-policy'
-    ? invalid.create('unknown-policy', `there is no drain policy ${invalid.quote(policy)}`)
-    : invalid.create('unknown-target', `${invalid.quote(target)} is neither this entry nor linked to it`)
+const explain = (failure: drains.Failure, target: string, policy = ''): invalid.Invalid => {
+  switch (failure) {
+    case 'unknown-policy': return invalid.create(failure, `there is no drain policy ${invalid.quote(policy)}`)
+    case 'unknown-target':
+      return invalid.create(failure, `${invalid.quote(target)} is neither this entry nor linked to it`)
+    case 'too-many-draining':
+      return invalid.create(failure, 'as many workers of this failure domain drain as the policy allows')
+    case 'store-unavailable':
+      return invalid.create(failure, 'the store that bounds how many workers drain at once does not answer')
+  }
+}
 
 /** Routes of operators. */
 export const register = (router: Router, parts: Parts): void => {
@@ -37,11 +44,11 @@
 
   router.get('/v1/operator/status', guard, (context) => { context.body = parts.status() })
 
-  router.post('/v1/operator/drain', guard, (context) => {
+  router.post('/v1/operator/drain', guard, async (context) => {
     const checked = validate.drain(context.request.body)
     if (checked.kind === 'error') return reply.refuse(context, checked.error)
     const { target, policy } = checked.value
-    const started = parts.drain(target, policy)
+    const started = await parts.drain(target, policy)
     if (started.kind === 'error') return reply.refuse(context, explain(started.error, target, policy))
     context.status = 202
     context.body = { kind: 'draining', target }
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -10,6 +10,8 @@
   /** Link to the process of that name. */
   linkOf (name: string): types.LinkId | undefined
   isAgent (link: types.LinkId): boolean
+  /** The agent behind the link; undefined for an entry. */
+  memberOf (link: types.LinkId): types.Member | undefined
   list (role: messages.Hello['role']): status.Peer[]
 }
 
@@ -27,6 +29,12 @@
     },
     down: (link) => { peers.delete(link) },
     linkOf: (name) => [...peers].find(([, peer]) => peer.name === name)?.[0],
+    memberOf: (link) => {
+      const peer = peers.get(link)
+      if (peer?.role !== 'agent') return undefined
+      const { name, incarnation, failureDomain } = peer
+      return { worker: name as types.WorkerName, incarnation, failureDomain: failureDomain as types.FailureDomainName }
+    },
     isAgent: (link) => peers.get(link)?.role === 'agent',
     list: (role) => [...peers.values()].filter((peer) => peer.role === role)
       .sort((one, other) => one.name.localeCompare(other.name))
--- a/packages/entry/src/process.test.ts
+++ b/packages/entry/src/process.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import * as clock from '@mustarddeck/clock'
+import * as errors from '@mustarddeck/errors'
 import * as platform from '@mustarddeck/platform'
 import type * as core from '@mustarddeck/entry-core'
 import type * as messages from '@mustarddeck/messages'
@@ -107,31 +108,42 @@
     const log = silentLog.create()
     const sent: messages.Message[] = []
     let stops = 0
+    let turnsLeft = 1
+    const refused = errors.error('too-many-draining' as const)
     const drains = drain.create({
       name: 'entry-1',
-      peers: { linkOf: (name) => name === 'worker-1' ? 7 as types.LinkId : undefined },
+      peers: {
+        linkOf: (name) => name === 'worker-1' ? 7 as types.LinkId : undefined,
+        memberOf: () => ({
+          worker: 'worker-1' as types.WorkerName,
+          incarnation: 'incarnation' as types.Incarnation,
+          failureDomain: 'khangai-a' as types.FailureDomainName
+        })
+      },
+      turns: { take: async (_, maxAtOnce) => turnsLeft-- > 0 && maxAtOnce === 2 ? errors.ok(undefined) : refused },
       links: { send: (_, message) => { sent.push(message) } },
-      timeLimitOf: (policy) => policy === 'counter' ? 10_000 : undefined,
+      policyOf: (policy) => policy === 'counter' ? { timeLimitMs: 10_000, maxAtOnce: 2 } : undefined,
       stop: () => { stops++ },
       timers,
       log
     })
-    return { drains, timers, log, sent, stops: () => stops }
+    return { drains, timers, log, sent, refused, stops: () => stops }
   }
 
-  it('passes a request for a peer on with the time limit of the policy, and stops nothing here', () => {
-    const { drains, sent, stops } = start()
-    expect(drains.drain('worker-1', 'counter')).to.include({ kind: 'ok' })
+  it('passes a request for a peer on with the time limit of the policy, and stops nothing here', async () => {
+    const { drains, sent, refused, stops } = start()
+    expect(await drains.drain('worker-1', 'counter')).to.include({ kind: 'ok' })
     expect(sent).to.deep.equal([{ kind: 'drain', timeLimitMs: 10_000 }])
-    expect(drains.drain('worker-9', 'counter')).to.deep.equal({ kind: 'error', error: 'unknown-target' })
-    expect(drains.drain('worker-1', 'none')).to.deep.equal({ kind: 'error', error: 'unknown-policy' })
+    expect(await drains.drain('worker-9', 'counter')).to.deep.equal({ kind: 'error', error: 'unknown-target' })
+    expect(await drains.drain('worker-1', 'none')).to.deep.equal({ kind: 'error', error: 'unknown-policy' })
+    expect(await drains.drain('worker-1', 'counter')).to.deep.equal(refused)
     expect([sent.length, stops()]).to.deep.equal([1, 0])
   })
 
-  it('stops this process once, and reports when that takes longer than the policy allows', () => {
+  it('stops this process once, and reports when that takes longer than the policy allows', async () => {
     const { drains, timers, log, stops } = start()
-    drains.drain('entry-1', 'counter')
-    drains.drain('entry-1', 'counter')
+    await drains.drain('entry-1', 'counter')
+    await drains.drain('entry-1', 'counter')
     expect(stops()).to.equal(1)
     timers.advance(10_000)
     expect(log.warnings).to.deep.equal(['drain-overdue'])
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -12,6 +12,7 @@
 import type * as settings from '@mustarddeck/settings'
 import type * as types from '@mustarddeck/types'
 import * as drain from './drain.ts'
+import * as drainTurns from './drain-turns.ts'
 import * as drivers from './driver.ts'
 import * as idSource from './id-source.ts'
 import * as idempotency from './idempotency.ts'
@@ -167,12 +168,19 @@
       refusals: measured.refusals()
     }
   }
-  const timeLimitOf = (policy: string): number | undefined => {
+  const policyOf = (policy: string): drain.Policy | undefined => {
     const set = follower.configuration()?.declarations
-    return set && declarations.resolved(set, 'drain-policy').find((one) => one.name === policy)?.fields.timeLimitMs
+    return set && declarations.resolved(set, 'drain-policy').find((one) => one.name === policy)?.fields
   }
   const drains = drain.create({
-    name, peers, links, timeLimitOf, stop: () => { stop() }, timers, log
+    name,
+    peers,
+    links,
+    turns: drainTurns.create({ table: platform.table, registry }),
+    policyOf,
+    stop: () => { stop() },
+    timers,
+    log
   })
   const server = servers.create({
     requests,
--- a/packages/entry/src/testing/harness.ts
+++ b/packages/entry/src/testing/harness.ts
@@ -4,6 +4,7 @@
 
 import type * as platform from '@mustarddeck/platform'
 import type * as types from '@mustarddeck/types'
+import type * as drain from '../drain.ts'
 import * as driver from '../driver.ts'
 import * as idSource from '../id-source.ts'
 import * as idempotency from '../idempotency.ts'
@@ -14,6 +15,9 @@
 import * as limits from '../http/limits.ts'
 import * as server from '../http/server.ts'
 
+const DRAIN_REFUSALS: Record<string, drain.Failure> = {
+  'worker-1': 'too-many-draining', 'worker-2': 'store-unavailable'
+}
 export const TOKEN = 'token-of-the-test-operator'
 
 export interface Harness {
@@ -85,8 +89,9 @@
     operator: {
       token: TOKEN,
       status: emptyStatus,
-      drain: (target) =>
-        target === 'entry-1' ? { kind: 'ok', value: undefined } : { kind: 'error', error: 'unknown-target' }
+      drain: async (target) => target === 'entry-1'
+        ? { kind: 'ok', value: undefined }
+        : { kind: 'error', error: DRAIN_REFUSALS[target] ?? 'unknown-target' }
     },
     log: silentLog.create(),
     name: 'entry-1',
