Keep the only worker of an entry in rotation

With one worker, the rise of its run times under load (4 to 10 ms for empty tasks) took it out of rotation, after which an entry started nothing and refused all urgent work for its time in the queue: trial tasks are taken from the least urgent class only. A single worker has no peers to be compared with. Conclusion: the new test fails without the change. Urgent work alone still cannot bring a worker back.

--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -108,6 +108,8 @@
     patient.slownessEvidence = Math.max(0, patient.slownessEvidence + evidence)
   }
   const mayLeave = (): boolean => {
+    // A single worker has no peers to stand out from, and without it nothing would run.
+    if (patients.size < 2) return false
     let out = 0
     for (const patient of patients) if (patient.out) out++
     return out + 1 <= Math.max(1, patients.size * MAX_OUT)
