Move slots rarely, and tell entries of floods elsewhere

Cause: agents moved slots for every short wait, and an entry could not tell a flood that came through another entry from ordinary imbalance.

recall gains the optional field flood; agent-core and entry-core pass it on.

--- a/packages/agent-core/src/core.ts
+++ b/packages/agent-core/src/core.ts
@@ -36,7 +36,7 @@
     effects.push({ kind: 'decision', event, fields })
   }
   const apply = (moves: slotDivision.Move[]): void => {
-    for (const { kind, link, slots: count } of moves) send(link, { kind, slots: count })
+    for (const { link, ...message } of moves) send(link, message)
   }
 
   const fence = (incarnation: types.Incarnation): void => {
--- a/packages/agent/src/life.ts
+++ b/packages/agent/src/life.ts
@@ -115,7 +115,7 @@
       resources,
       configuration: 0
     }),
-    heartbeat: () => ({ kind: 'heartbeat', configuration: 0 }),
+    heartbeat: (_id, silent) => silent ? { kind: 'heartbeat', configuration: 0 } : undefined,
     handler: {
       up: (id, hello) => feed({ kind: 'link-up', link: id, hello }),
       message: (id, message) => message.kind === 'drain'
--- a/packages/entry-core/src/agent-links.ts
+++ b/packages/entry-core/src/agent-links.ts
@@ -136,7 +136,7 @@
           if (!agent.departed && !agent.leaving) placement.granted(agent.link, message.slots)
           return
         case 'recall': {
-          const slots = placement.recalled(agent.link, message.slots)
+          const slots = placement.recalled(agent.link, message.slots, message.flood)
           return context.send(agent.link, { kind: 'returned', slots })
         }
         case 'finished': return owned.finished(agent, message)
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -123,7 +123,13 @@
   const links = link.create({
     key: given.links.key,
     hello,
-    heartbeat: (id) => ({ kind: 'heartbeat', configuration: follower.version(), ...peers.isAgent(id) && { waiting: core.demand(id) } }),
+    // Entries learn of new configurations from heartbeats, so that these go to entries on busy links too.
+    heartbeat: (id, silent) => {
+      if (!peers.isAgent(id)) return { kind: 'heartbeat', configuration: follower.version() }
+      return silent
+        ? { kind: 'heartbeat', configuration: follower.version(), waiting: core.demand(id) }
+        : undefined
+    },
     handler,
     log,
     timers,
--- a/packages/link/src/links.ts
+++ b/packages/link/src/links.ts
@@ -15,8 +15,11 @@
   key: string
   /** Content of the next `hello`. Its incarnation identifies this process. */
   hello (): messages.Hello
-  /** Content of the next heartbeat on a link; undefined where the caller sends heartbeats by itself. */
-  heartbeat (link: types.LinkId): messages.Heartbeat | undefined
+  /**
+   * Content of the next heartbeat on a link. `silent` is false if a frame was sent within the interval, which shows as
+   * much as a heartbeat would. Undefined for none.
+   */
+  heartbeat (link: types.LinkId, silent: boolean): messages.Heartbeat | undefined
   handler: link.Handler
   log: log.Log
   timers: clock.Timers
--- a/packages/link/src/session.ts
+++ b/packages/link/src/session.ts
@@ -25,8 +25,11 @@
   sent: link.Traffic
   received: link.Traffic
   hello (): messages.Hello
-  /** Content of the next heartbeat on a link; undefined where the caller sends heartbeats by itself. */
-  heartbeat (link: types.LinkId): messages.Heartbeat | undefined
+  /**
+   * Content of the next heartbeat on a link. `silent` is false if a frame was sent within the interval, which shows as
+   * much as a heartbeat would. Undefined for none.
+   */
+  heartbeat (link: types.LinkId, silent: boolean): messages.Heartbeat | undefined
 }
 
 export type Side = 'dialer' | 'acceptor'
@@ -93,6 +96,7 @@
   let queue: messages.Message[] = []
   let heardAt = timers.monotonic()
   let heartbeatAt = Infinity
+  let sentAt = -Infinity
   let cancelTimer: clock.Cancellation = () => {}
   let closing = false
   let expectedProof: Uint8Array = Buffer.alloc(0)
@@ -133,6 +137,7 @@
     const frames = codec.encode(batch, limits.maxFrameBytes)
     if (!frames) return fail('own message above the size limit')
     for (const message of batch) count(context.sent, message)
+    sentAt = timers.monotonic()
     frames.forEach(write)
     if (socket.bufferedAmount > limits.maxBufferedBytes) abandon('peer does not read')
   }
@@ -152,8 +157,9 @@
       return abandon(peer ? 'no frame within the link timeout' : 'handshake timeout')
     }
     if (now >= heartbeatAt) {
-      heartbeatAt = now + limits.heartbeatMs
-      const message = context.heartbeat(id)
+      const silent = now - sentAt >= limits.heartbeatMs
+      const message = context.heartbeat(id, silent)
+      heartbeatAt = (message || silent ? now : sentAt) + limits.heartbeatMs
       if (message) send(message)
     }
     wait()
--- a/packages/messages/src/agent.ts
+++ b/packages/messages/src/agent.ts
@@ -58,8 +58,13 @@
 /** Agent to entry: this many more slots are granted. */
 export const Grant = Type.Object({ kind: Type.Literal('grant'), slots: Count })
 
-/** Agent to entry: give back up to this many unused slots. */
-export const Recall = Type.Object({ kind: Type.Literal('recall'), slots: Count })
+/**
+ * Agent to entry: give back up to this many unused slots. `flood`: they are for work above its fair share, which gives
+ * way to the entry's own work whenever the entry asks for slots.
+ */
+export const Recall = Type.Object({
+  kind: Type.Literal('recall'), slots: Count, flood: Type.Optional(Type.Boolean())
+})
 
 /** Entry to agent: this many granted slots are given back unused. */
 export const Returned = Type.Object({ kind: Type.Literal('returned'), slots: Count })
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -30,7 +30,7 @@
 
 const retryAfter = (waitMs: number): number => Math.ceil(Math.min(RETRY.most, Math.max(RETRY.least, waitMs)))
 
-export const create = ({ hosts: workers, queues: all, quotas: teams, capacity }: Parts): Admission => {
+export const create = ({ hosts: workers, queues: queued, quotas: teams, capacity }: Parts): Admission => {
   let settledAt = Infinity
 
   const neverRuns = (type: queues.Type, now: number): boolean => {
@@ -38,33 +38,35 @@
     for (const { worker } of workers.all()) if (hosts.fits(worker.resources, type.rules.resources)) return false
     return true
   }
-  const work = (type: queues.Type): number => type.waiting * type.runTimes.mean()
+  /** Waiting work in ms that goes before a new job of the type: of all its teams, and of one team. */
+  const workBefore = (type: queues.Type, { team, tasks }: placement.WaitingJob): [number, number, number] => {
+    let [all, own, weights, weight] = [0, 0, 0, 1]
+    for (const flow of type.active) {
+      const before = queued.before(flow, tasks) * type.runTimes.mean()
+      all += before
+      weights += flow.weight
+      if (flow.team === team) [own, weight] = [own + before, flow.weight]
+    }
+    return [all, own, own === 0 ? 1 : weight / weights]
+  }
 
   /**
-   * Expected time in ms until a new job of the flow starts. It is the smaller of two bounds: the time to serve all work
-   * at its level and above, and the time to serve the waiting work of its own type with the type's fair share.
+   * Expected time in ms until a new job starts. It is the smaller of two bounds: the time to serve all work that goes
+   * before it, and the time to serve the work of its own team and type with their fair share.
    */
-  const expectedWait = (type: queues.Type, team: types.TeamName, now: number): number => {
-    if (workers.unused() > 0 && type.waiting === 0) return 0
-    let [ahead, above, weights] = [0, 0, type.rules.weight]
-    for (const other of all.all()) {
-      if (other.level > type.level) continue
-      if (other.level < type.level) above += all.load(other, now)
-      else if (other !== type && other.waiting > 0) weights += other.rules.weight
-      ahead += work(other)
+  const expectedWait = (type: queues.Type, job: placement.WaitingJob, now: number): number => {
+    const [ofType, ofTeam, teamShare] = workBefore(type, job)
+    if (workers.unused() > 0 && ofType === 0) return 0
+    let [ahead, above, weights] = [ofType, 0, type.rules.weight]
+    for (const other of queued.all()) {
+      if (other.level > type.level || other === type) continue
+      if (other.level < type.level) above += queued.load(other, now)
+      else if (other.waiting > 0) weights += other.rules.weight
+      ahead += other.waiting * other.runTimes.mean()
     }
     const left = Math.max(capacity() * LEAST_SHARE, capacity() - above)
-    const own = work(type) / (left * type.rules.weight / weights)
-    return Math.min(ahead / left, own, ofTeam(type, team, left))
-  }
-  /** Time in ms to serve the team's waiting tasks of the type with the team's share of the type's slots. */
-  const ofTeam = (type: queues.Type, team: types.TeamName, slots: number): number => {
-    let [weights, own, waiting] = [0, 1, 0]
-    for (const flow of type.active) {
-      weights += flow.weight
-      if (flow.team === team) [own, waiting] = [flow.weight, waiting + flow.waiting]
-    }
-    return waiting === 0 ? 0 : waiting * type.runTimes.mean() * weights / own / slots
+    const share = left * type.rules.weight / weights
+    return Math.min(ahead / left, ofType / share, ofTeam / share / teamShare)
   }
   const quotaWait = (type: queues.Type, team: types.TeamName): number => {
     const allowance = teams.allowance(team)
@@ -75,15 +77,18 @@
   }
   return {
     fleetChanged: (now) => { settledAt = now + SETTLE_MS },
-    check: ({ team, maxWaitMs }, type, targetWaitMs, now) => {
+    check: (job, type, targetWaitMs, now) => {
+      const { team, maxWaitMs } = job
       if (neverRuns(type, now)) return { kind: 'refused', reason: 'never-runnable' }
       if (teams.allowance(team) === 0) return { kind: 'refused', reason: 'quota', retryAfterMs: RETRY.most }
-      const target = Math.min(targetWaitMs, maxWaitMs ?? Infinity)
+      // A job of many tasks that is as large as those before it may wait as long as it would run by itself.
+      const ownMs = job.tasks * type.runTimes.mean() / capacity()
+      const target = Math.min(targetWaitMs + ownMs, maxWaitMs ?? Infinity)
       const underQuota = quotaWait(type, team)
       if (underQuota > target) {
         return { kind: 'refused', reason: 'quota', retryAfterMs: retryAfter(underQuota - target) }
       }
-      const wait = expectedWait(type, team, now)
+      const wait = expectedWait(type, job, now)
       if (wait <= target) return undefined
       return { kind: 'refused', reason: 'overload', retryAfterMs: retryAfter(wait - target) }
     }
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -30,6 +30,12 @@
 /** Longest wait in ms of a job without an own limit, as a multiple of its class's target. */
 const MAX_WAIT_FACTOR = 10
 
+/** Bound of all reserves, as a share of slots, against a type that floods. */
+const MAX_FLOOD_RESERVE = 0.02
+
+/** Time in ms after a recall for another entry's flood in which this entry keeps no reserve and asks promptly. */
+const PRESSED_MS = 2000
+
 const keyOf = (job: types.JobId, index: number): string => `${job}/${index}`
 
 export const create = ({ random, position = { index: 0, count: 1 }, policy }: Options): placement.Placement =>
@@ -50,6 +56,9 @@
   private rules: types.Rules = { version: 0, taskTypes: [], priorityClasses: [], teams: [] }
   private classes = new Map<number, types.PriorityClass>()
   private teams = new Set<types.TeamName>()
+  /** Time in ms of the latest call of `next`. */
+  private time = 0
+  private pressedUntil = 0
   private log: placement.Decision[] = []
 
   constructor (
@@ -57,13 +66,19 @@
   ) {
     super()
     this.health = healths.create({ enabled: policy.health })
-    this.hosts = workers.create({ random, health: this.health, policy })
+    this.hosts = workers.create({ random, health: this.health })
     this.queues = queueing.create(policy)
     this.quotas = teamQuotas.create(position)
     const parts = { hosts: this.hosts, queues: this.queues, quotas: this.quotas, capacity: () => this.capacity() }
     this.admission = admissions.create(parts)
     this.floods = flood.create(this.queues)
-    this.reporter = reporting.create({ ...parts, policy, waiting: () => this.waitingByLevel() })
+    this.reporter = reporting.create({
+      ...parts,
+      waiting: () => this.waitingByLevel(),
+      fairSlots: () => this.hosts.slots() / this.position.count,
+      waitMs: (level) => this.targetWait(level) * policy.reportWait,
+      isPressed: () => this.isPressed()
+    })
   }
 
   override configure (rules: types.Rules): void {
@@ -96,10 +111,12 @@
     this.hosts.grant(host, slots)
   }
 
-  override recalled (link: types.LinkId, slots: number): number {
+  override recalled (link: types.LinkId, slots: number, flood = false): number {
     const host = this.hosts.get(link)
+    if (flood) this.pressedUntil = this.time + PRESSED_MS
     if (!host) return 0
-    const count = Math.min(slots, host.granted)
+    const spare = this.hosts.unused() - this.reserveAgainstOthers()
+    const count = Math.max(0, Math.min(slots, host.granted, spare))
     this.hosts.grant(host, -count)
     return count
   }
@@ -121,6 +138,7 @@
   }
 
   override next (now: number): placement.Dispatch | undefined {
+    this.time = now
     this.quotas.observe(this.hosts.held() / Math.max(1, this.hosts.slots()), now)
     if (this.hosts.unused() === 0 || this.queues.active.size === 0) return undefined
     const lowest = this.queues.levels() - 1
@@ -207,6 +225,11 @@
     return Math.max(1, this.hosts.held(), this.hosts.slots() / this.position.count)
   }
 
+  /** Target wait in ms of a level; the last level has that of the least urgent class. */
+  private targetWait (level: number): number {
+    return (this.classes.get(level) ?? this.classes.get(level - 1))?.targetWaitMs ?? Infinity
+  }
+
   private firstDue (): queueing.Job | undefined {
     for (let job = this.due.peek(); job; job = this.due.peek()) {
       if (!job.started && !job.withdrawn) return job
@@ -215,20 +238,40 @@
     return undefined
   }
 
-  /** Unused slots that work of the level leaves to more urgent classes, less what those classes use already. */
+  /** Share of slots that is reserved for classes more urgent than the level. */
+  private reserveShare (level: number): number {
+    const flooding = level === this.queues.levels() - 1
+    let share = 0
+    for (const { rank, reserve } of this.rules.priorityClasses) if (rank < level || flooding) share += reserve
+    return share
+  }
+
+  /**
+   * Unused slots that work of the level leaves to more urgent classes. They shrink as that work waits longer, so that a
+   * reserve never idles beside a lasting backlog. A flood is one from the start, and would
+   * take what other work left.
+   */
   private reservedFrom (level: number): number {
     if (!this.policy.reserves || level === 0) return 0
-    const flooding = level === this.queues.levels() - 1
-    const used = new Map<number, number>()
-    for (const type of this.queues.all()) {
-      if (type.level < level) used.set(type.rank, (used.get(type.rank) ?? 0) + type.running)
-    }
-    let reserved = 0
-    for (const { rank, reserve } of this.rules.priorityClasses) {
-      if (rank >= level && !flooding) continue
-      reserved += Math.max(0, reserve * this.capacity() - (used.get(rank) ?? 0))
-    }
-    return Math.floor(reserved)
+    const share = this.reserveShare(level)
+    if (share === 0) return 0
+    if (this.isPressed()) return Math.floor(Math.min(share, MAX_FLOOD_RESERVE) * this.capacity())
+    let work = 0
+    for (const type of this.queues.active) if (type.level <= level) work += type.waiting * type.runTimes.mean()
+    const wait = work / this.capacity() / this.targetWait(level) / this.policy.reserveWait
+    return Math.round(share * this.capacity() * Math.max(0, 1 - wait))
+  }
+
+  /** True while a flood takes all slots that other work leaves, through this entry or another one. */
+  private isPressed (): boolean {
+    return this.floods.count() > 0 || this.time < this.pressedUntil
+  }
+
+  /** Unused slots that the entry does not give back to others. */
+  private reserveAgainstOthers (): number {
+    if (!this.policy.reserves) return 0
+    const share = this.reserveShare(this.queues.levels() - 1)
+    return Math.floor(this.capacity() * (this.isPressed() ? Math.min(share, MAX_FLOOD_RESERVE) : share / 2))
   }
 
   private nextOf (level: number, now: number): placement.Dispatch | undefined {
@@ -249,9 +292,9 @@
     const { rules, level, runTimes } = flow.type
     const { resources, timeLimitMs } = rules
     const trial = level >= this.queues.levels() - 2
-    const host = this.hosts.choose({ resources, registeredOnly: flow.registeredOnly, trial }, now)
-    const job = host && this.queues.head(flow)
-    if (!host || !job) return undefined
+    const job = this.queues.head(flow)
+    const host = job && this.hosts.choose({ resources, registeredOnly: flow.registeredOnly, trial }, now)
+    if (!job || !host) return undefined
     const index = this.queues.take(job)
     job.started = true
     this.hosts.take(host, resources)
--- a/packages/placement/src/floods.ts
+++ b/packages/placement/src/floods.ts
@@ -1,7 +1,9 @@
 import type * as queues from './queues.ts'
 
 /** Offered load over capacity above which types over their fair share go last. */
-const OVERLOAD = 1.1
+const OVERLOAD = 2
+/** Offered load over fair share above which a type counts as a flood in an overload; less is a burst. */
+const FLOOD = 2
 /** Offered load over fair share below which a type stops counting as a flood. */
 const CALM = 0.8
 /** Interval in ms between two looks at the loads. */
@@ -10,6 +12,8 @@
 export interface Floods {
   /** Moves types to the last level and back; returns those that were moved. */
   check (slots: number, now: number): queues.Type[]
+  /** Number of types in the last level. */
+  count (): number
 }
 
 /** Level of water-filling: what each unit of weight gets of the capacity when no load gets more than it offers. */
@@ -31,6 +35,7 @@
  */
 export const create = (all: queues.Queues): Floods => {
   let checkAt = 0
+  let count = 0
   return {
     check: (slots, now) => {
       if (now < checkAt) return []
@@ -43,11 +48,13 @@
       const last = all.levels() - 1
       return types.filter((type, index) => {
         const share = loads[index]!.load / type.rules.weight
-        const level = share > fair ? last : share < calm ? type.rank : type.level
+        const level = share > fair * FLOOD ? last : share < calm ? type.rank : type.level
         if (level === type.level) return false
         all.setLevel(type, level)
+        count += level === last ? 1 : -1
         return true
       })
-    }
+    },
+    count: () => count
   }
 }
--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -14,7 +14,7 @@
 /** Deviation up to which a trial task counts as passed. */
 const TRIAL_DEVIATION = 1.3
 const TRIALS_TO_RETURN = 3
-const FIRST_TRIAL_MS = 1000
+const FIRST_TRIAL_MS = 2000
 const LAST_TRIAL_MS = 60_000
 /** Largest share of workers out of rotation; beyond it the cause is not the workers. */
 const MAX_OUT = 1 / 3
--- a/packages/placement/src/hosts.ts
+++ b/packages/placement/src/hosts.ts
@@ -2,12 +2,11 @@
 import type * as types from '@mustarddeck/types'
 import * as health from './health.ts'
 import type * as placement from './interface.ts'
-import type * as policies from './policy.ts'
 
 /** Workers looked at for one task; a fleet of thousands is sampled. */
 const SAMPLE = 12
 /** Time in ms for which no task goes to a worker that rejected one for lack of resources. */
-const RESOURCE_BACKOFF_MS = 50
+const RESOURCE_BACKOFF_MS = 200
 
 export interface Host {
   link: types.LinkId
@@ -49,6 +48,8 @@
   /** The task's slot is gone unless `grant` follows. */
   release (host: Host, resources: types.Resources): void
   crowded (host: Host, now: number): void
+  /** Number of linked workers. */
+  count (): number
   /** Unused slots on workers in rotation or not. */
   unused (): number
   /** Granted and used slots of all linked workers. */
@@ -59,7 +60,7 @@
 }
 
 export const create = (
-  { random, health: checks, policy }: { random: random.Random, health: health.Health, policy: policies.Policy }
+  { random, health: checks }: { random: random.Random, health: health.Health }
 ): Hosts => {
   const hosts = new Map<types.LinkId, Host>()
   /** Hosts with unused slots, in no order. */
@@ -90,21 +91,17 @@
     used.accelerators += sign * accelerators
   }
 
-  /** Score of a host for a task; Infinity if it cannot take it. Smaller is better. */
+  /** Rank of a host for a task: Infinity if it cannot take it, 0 or less if there is no reason to look further. */
   const score = (host: Host, { resources, registeredOnly, trial }: Need, now: number): number => {
     const { worker, used, patient } = host
     if (registeredOnly && !worker.registered) return Infinity
     if (!fits(worker.resources, resources, used)) return Infinity
     if (trial && checks.wantsTrial(patient, now)) return -Infinity
-    if (!checks.accepts(patient) && !(patient.out && random.float() < policy.exploration)) return Infinity
+    if (!checks.accepts(patient)) return Infinity
     // Other entries' tasks are not known here; within its share of slots an entry's tasks always fit.
     const crowded = !fits(worker.resources, resources, used, heldBy(host) / worker.slots)
     if (crowded && now < host.crowdedUntil) return Infinity
-    return (crowded ? 1e6 : 0) + preference(host)
-  }
-  const preference = (host: Host): number => {
-    if (policy.spread === 'random') return 0
-    return policy.spread === 'packed' ? host.granted : -host.granted
+    return crowded ? 1 : 0
   }
   const scan = (need: Need, now: number, limit: number): Host | undefined => {
     const start = open.length > 1 ? random.integer(0, open.length - 1) : 0
@@ -112,6 +109,7 @@
     for (let step = 0; step < limit; step++) {
       const host = open[(start + step) % open.length]!
       const value = score(host, need, now)
+      if (value <= 0) return host
       if (value < lowest) [chosen, lowest] = [host, value]
     }
     return chosen
@@ -148,6 +146,7 @@
       account(host, resources, -1)
     },
     crowded: (host, now) => { host.crowdedUntil = now + RESOURCE_BACKOFF_MS },
+    count: () => hosts.size,
     unused: () => unused,
     held: () => held,
     slots: () => slots,
--- a/packages/placement/src/interface.ts
+++ b/packages/placement/src/interface.ts
@@ -46,8 +46,8 @@
   /** All grants of the link are void. Its dispatched tasks are not requeued: see `requeue`. */
   abstract workerDown (link: types.LinkId, now: number): void
   abstract granted (link: types.LinkId, slots: number): void
-  /** Gives up to `slots` unused slots back and returns their number. */
-  abstract recalled (link: types.LinkId, slots: number): number
+  /** Gives up to `slots` unused slots back and returns their number. `flood`: another entry's flood wants them. */
+  abstract recalled (link: types.LinkId, slots: number, flood?: boolean): number
   abstract admit (job: WaitingJob, now: number): Admission
   /** Chooses the next task to start and uses a slot for it. */
   abstract next (now: number): Dispatch | undefined
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -5,7 +5,7 @@
 import * as runTimes from './run-times.ts'
 
 /** Time constant in ms over which the offered work of a type is averaged. */
-const LOAD_OVER_MS = 2000
+const LOAD_OVER_MS = 5000
 
 export interface Job {
   waiting: placement.WaitingJob
@@ -16,6 +16,8 @@
   next: number
   /** Dispatched indexes that wait again. */
   again: number[]
+  /** Index into the flow's `sizes`. */
+  size: number
   /** Tasks that have not ended. */
   unfinished: number
   queued: boolean
@@ -34,6 +36,8 @@
   jobs: TinyQueue<Job>
   /** Waiting tasks. */
   waiting: number
+  /** Waiting tasks by size of their job: element n is for jobs of 2^n tasks or more. */
+  sizes: number[]
   virtual: number
 }
 
@@ -75,13 +79,15 @@
   settle (flow: Flow, chargedMs: number, runMs: number): void
   withdraw (job: Job): void
   setLevel (type: Type, level: number): void
+  /** Waiting tasks of the flow that go before a new job of that many tasks. */
+  before (flow: Flow, tasks: number): number
   /** Offered load of a type in slots. */
   load (type: Type, now: number): number
   offer (type: Type, tasks: number, slots: number, now: number): void
 }
 
 /** Share of the capacity of the averaging time that one job adds to the offered load at most. */
-const MAX_JOB_OFFER = 0.25
+const MAX_JOB_OFFER = 0.15
 
 export const remaining = (job: Job): number => job.waiting.tasks - job.next + job.again.length
 
@@ -120,11 +126,12 @@
     if (found) return found
     const jobs = new TinyQueue<Job>([], (left, right) => left.key - right.key)
     const weight = teams.get(team) ?? 1
-    const flow: Flow = { team, weight, registeredOnly, type, jobs, waiting: 0, virtual: type.clock }
+    const flow: Flow = { team, weight, registeredOnly, type, jobs, waiting: 0, sizes: [], virtual: type.clock }
     type.flows.set(name, flow)
     return flow
   }
 
+  const sizeOf = (tasks: number): number => remainingWeight > 0 ? Math.floor(Math.log2(tasks)) : 0
   const enqueue = (job: Job, tasks: number): void => {
     const { flow } = job
     const { type } = flow
@@ -137,13 +144,15 @@
       type.active.add(flow)
     }
     flow.waiting += tasks
+    flow.sizes[job.size] = (flow.sizes[job.size] ?? 0) + tasks
     type.waiting += tasks
     if (job.queued) return
     job.queued = true
     flow.jobs.push(job)
   }
-  const forget = (flow: Flow, tasks: number): void => {
+  const forget = ({ flow, size }: Job, tasks: number): void => {
     flow.waiting -= tasks
+    flow.sizes[size]! -= tasks
     flow.type.waiting -= tasks
     if (flow.waiting === 0) flow.type.active.delete(flow)
     if (flow.type.waiting === 0) active.delete(flow.type)
@@ -186,7 +195,8 @@
       const flow = flowOf(type, waiting.team, waiting.registeredOnly)
       const key = now + remainingWeight * waiting.tasks * type.runTimes.mean()
       const state = { next: 0, again: [], queued: false, withdrawn: false, started: false }
-      const job: Job = { waiting, flow, key, dueAt, unfinished: waiting.tasks, ...state }
+      const size = sizeOf(waiting.tasks)
+      const job: Job = { waiting, flow, key, dueAt, size, unfinished: waiting.tasks, ...state }
       enqueue(job, waiting.tasks)
       return job
     },
@@ -201,14 +211,19 @@
       charge(flow, type.runTimes.mean())
       // The job is the first of its flow, so a smaller key leaves the order of the heap intact.
       job.key -= remainingWeight * type.runTimes.mean()
-      forget(flow, 1)
+      forget(job, 1)
       return index
     },
     settle: (flow, chargedMs, runMs) => charge(flow, runMs - chargedMs),
     withdraw: (job) => {
       if (job.withdrawn) return
       job.withdrawn = true
-      forget(job.flow, remaining(job))
+      forget(job, remaining(job))
+    },
+    before: (flow, tasks) => {
+      let before = 0
+      for (let size = sizeOf(tasks); size >= 0; size--) before += flow.sizes[size] ?? 0
+      return before
     },
     setLevel: (type, level) => {
       type.level = level
--- a/packages/placement/src/reports.ts
+++ b/packages/placement/src/reports.ts
@@ -1,17 +1,26 @@
 import * as hosts from './hosts.ts'
 import type * as placement from './interface.ts'
-import type * as policies from './policy.ts'
 import type * as queues from './queues.ts'
 
 /** Shortest time in ms between two reports. */
-const INTERVAL_MS = 10
+const INTERVAL_MS = 20
+/** Parts of its even part of the slots below which, and up to which, an entry asks promptly. */
+const SHORT = 0.5
+const REFILL = 0.75
+/** Longest wait in ms for the own slots of an entry that is short of them, or while a flood takes what is left. */
+const PROMPT_WAIT_MS = 20
 
 interface Parts {
   hosts: hosts.Hosts
   queues: queues.Queues
-  policy: policies.Policy
   /** Waiting tasks by level that a slot could start. */
   waiting: () => number[]
+  /** This entry's even part of the fleet's slots. */
+  fairSlots: () => number
+  /** True while a flood takes all slots that other work leaves. */
+  isPressed: () => boolean
+  /** Wait in ms of a level for the entry's own slots above which it asks for more than its even part. */
+  waitMs: (level: number) => number
 }
 
 export interface Reports {
@@ -23,8 +32,6 @@
   deadline (): number | undefined
 }
 
-const sum = (counts: number[]): number => counts.reduce((total, count) => total + count, 0)
-
 /** Slots of a worker that this entry does not hold and has not asked for. */
 const available = (host: hosts.Host): number =>
   host.patient.out ? 0 : Math.max(0, host.worker.slots - hosts.heldBy(host) - host.wanted)
@@ -43,53 +50,82 @@
  * Decides when agents hear of waiting work. Each report costs messages and moves slots away from other entries, so
  * none is sent for work that the entry's own slots start soon, and each agent is asked for a part only.
  */
-export const create = ({ hosts: workers, queues: all, policy, waiting: count }: Parts): Reports => {
+export const create = (
+  { hosts: workers, queues: all, waiting: count, fairSlots, isPressed, waitMs }: Parts
+): Reports => {
   let nextAt = 0
   let pending = false
 
-  /** Expected time in ms until the entry's own slots have started all waiting tasks. */
-  const ownWait = (tasks: number): number => {
+  /** Mean run time in ms and number of the entry's running tasks. */
+  const pace = (): [number, number] => {
     let [running, work] = [0, 0]
     for (const type of all.all()) {
       running += type.running
       work += type.running * type.runTimes.mean()
     }
-    return running === 0 ? Infinity : tasks * work / running / running
+    return [running === 0 ? 0 : work / running, running]
+  }
+  /** Slots missing to start the waiting tasks of every level in time. */
+  const missing = (waiting: number[]): number => {
+    const [meanMs, running] = pace()
+    const even = fairSlots()
+    const short = workers.held() < even * SHORT ? Math.floor(even * REFILL) - workers.held() : 0
+    const pressed = isPressed()
+    let [ahead, most] = [0, 0]
+    for (const [level, tasks] of waiting.entries()) {
+      ahead += tasks
+      if (tasks === 0) continue
+      const slotsFor = (longestMs: number): number =>
+        running === 0 ? ahead : ahead * meanMs / longestMs - running
+      const prompt = slotsFor(PROMPT_WAIT_MS)
+      const needed = pressed ? prompt : Math.max(Math.min(short, prompt), slotsFor(waitMs(level)))
+      most = Math.max(most, Math.min(ahead, needed))
+    }
+    return Math.ceil(most)
   }
-  const plan = (waiting: number[]): placement.Report[] => {
-    const tasks = sum(waiting)
+  const plan = (waiting: number[], slots: number): placement.Report[] => {
     let outstanding = 0
     for (const host of workers.all()) outstanding += host.wanted
-    let missing = Math.ceil(tasks * policy.reportFactor) - outstanding
-    if (missing <= 0 || missing < outstanding / 4) return []
+    let left = slots - outstanding
+    if (left <= 0 || left < outstanding / 4) return []
     const candidates = [...workers.all()].filter((host) => available(host) > 0)
-      .sort((left, right) => available(right) - available(left))
-    const each = Math.max(1, Math.ceil(missing / Math.max(1, candidates.length)))
+      .sort((first, second) => available(second) - available(first))
+    const each = Math.max(1, Math.ceil(left / Math.max(1, candidates.length)))
     const reports: placement.Report[] = []
     for (const host of candidates) {
-      if (missing <= 0) break
-      const slots = Math.min(each, available(host), missing)
-      host.wanted += slots
-      missing -= slots
+      if (left <= 0) break
+      const asked = Math.min(each, available(host), left)
+      host.wanted += asked
+      left -= asked
       reports.push({ link: host.link, waiting: share(waiting, host.wanted) })
     }
     return reports
   }
+  /** Takes back what was asked for: a slot that comes in vain costs more messages than this. */
+  const cancel = (): placement.Report[] => {
+    const reports: placement.Report[] = []
+    for (const host of workers.all()) {
+      if (host.wanted === 0) continue
+      host.wanted = 0
+      reports.push({ link: host.link, waiting: [] })
+    }
+    return reports
+  }
   return {
     due: (now) => {
       pending = false
-      if (all.active.size === 0) return []
+      if (all.active.size === 0) return cancel()
       const waiting = count()
-      const tasks = sum(waiting)
-      if (tasks === 0 || ownWait(tasks) < policy.reportWaitMs) return []
+      const slots = missing(waiting)
+      if (slots <= 0) return []
       pending = true
       if (now < nextAt) return []
       nextAt = now + INTERVAL_MS
-      return plan(waiting)
+      return plan(waiting, slots)
     },
     of: (host) => {
       const waiting = count()
-      const spread = Math.ceil(sum(waiting) * policy.reportFactor / Math.max(1, [...workers.all()].length))
+      const spread = Math.ceil(missing(waiting) / Math.max(1, workers.count()))
       host.wanted = 0
       host.wanted = Math.min(spread, available(host))
       return host.wanted === 0 ? [] : share(waiting, host.wanted)
