--- /dev/null
+++ b/packages/bench/src/ablation.ts
@@ -0,0 +1,61 @@
+import type * as placements from '@mustarddeck/placement'
+import type * as workload from './workload.ts'
+
+/** One policy choice with the values that the report compares; the first is the one in use. */
+export interface Ablation {
+  choice: string
+  scenarios: string[]
+  variants: { name: string, policy: Partial<placements.Policy>, change?: workload.RuleChange }[]
+}
+
+export const ABLATIONS: Ablation[] = [
+  {
+    choice: 'order within a type',
+    scenarios: ['steady 80%', 'steady 95%'],
+    variants: [
+      { name: 'in use', policy: {} },
+      { name: 'order of arrival', policy: { remainingWeight: 0 } },
+      { name: 'weak', policy: { remainingWeight: 0.1 } },
+      { name: 'nearly without ageing', policy: { remainingWeight: 30 } }
+    ]
+  },
+  {
+    choice: 'reserve',
+    scenarios: ['steady 80%', 'flood of least urgent'],
+    variants: [
+      { name: 'in use', policy: {} },
+      { name: 'without', policy: { reserves: false } },
+      { name: 'shrinks late', policy: { reserveWait: 2 } },
+      { name: '5% of slots', policy: {}, change: { reserve: [0.05, 0, 0] } },
+      { name: '17% of slots', policy: {}, change: { reserve: [0.17, 0, 0] } }
+    ]
+  },
+  {
+    choice: 'flood control',
+    scenarios: ['flood of most urgent', 'flood of one type of a class', 'flood of least urgent'],
+    variants: [{ name: 'in use', policy: {} }, { name: 'without', policy: { floodControl: false } }]
+  },
+  {
+    choice: 'learning rate of run times',
+    scenarios: ['steady 80%', 'all backlogged, weighted'],
+    variants: [
+      { name: 'in use', policy: {} },
+      { name: '0.005', policy: { learningRate: 0.005 } },
+      { name: '0.5', policy: { learningRate: 0.5 } }
+    ]
+  },
+  {
+    choice: 'worker health',
+    scenarios: ['worker fails everything', 'worker 5 times slow', 'steady 80%'],
+    variants: [{ name: 'in use', policy: {} }, { name: 'without', policy: { health: false } }]
+  },
+  {
+    choice: 'wait at which slots are asked for',
+    scenarios: ['steady 80%', 'jobs of 260 tasks'],
+    variants: [
+      { name: 'in use', policy: {} },
+      { name: '0.1 of the target', policy: { reportWait: 0.1 } },
+      { name: '3 times the target', policy: { reportWait: 3 } }
+    ]
+  }
+]
--- /dev/null
+++ b/packages/bench/src/measure.ts
@@ -0,0 +1,98 @@
+import * as histograms from 'hdr-histogram-js'
+import type * as fleets from './fleet.ts'
+import type * as runs from './run.ts'
+import * as workload from './workload.ts'
+
+/** Times in ms. */
+export interface Percentiles {
+  count: number
+  p50: number
+  p99: number
+}
+
+/** Figures of one run over its window; jobs count by the time at which they were sent. */
+export interface Figures {
+  /** Response times of complete jobs by rank of class, without the flood. */
+  classes: Record<number, Percentiles>
+  /** Complete tasks of ordinary work per second. */
+  otherThroughput: number
+  otherP99: number
+  /** Share of slots that ran a task. */
+  busy: number
+  /** Messages beyond start and finished, per started task: in all, heartbeats only. */
+  overhead: number
+  heartbeats: number
+  messages: Record<string, number>
+  rejected: Record<string, number>
+  outcomes: Record<string, number>
+  refusals: Record<string, number>
+  urgentRefusedWhileLessUrgentRan: number
+  served: Record<string, number>
+  sabotaged: number
+  /** Tasks that the faulty worker failed before the last entry that used it took it out of rotation. */
+  sabotagedBeforeOut: number
+  mostRunning: Record<string, number>
+  started: number
+  /** Decisions of placement by event. */
+  decisions: Record<string, number>
+}
+
+const PRECISION = { numberOfSignificantValueDigits: 3, highestTrackableValue: 10_000_000 } as const
+/** Resolution of recorded times in ms. */
+const UNIT_MS = 0.01
+
+const percentiles = (times: number[]): Percentiles => {
+  const histogram = histograms.build(PRECISION)
+  for (const ms of times) histogram.recordValue(Math.round(ms / UNIT_MS))
+  const at = (percent: number): number => histogram.getValueAtPercentile(percent) * UNIT_MS
+  return { count: times.length, p50: at(50), p99: at(99) }
+}
+const rounded = (counts: Map<string, number>): Record<string, number> =>
+  Object.fromEntries([...counts].map(([key, value]) => [key, Math.round(value)]))
+
+export const measure = ({ tally, run }: { tally: fleets.Tally, run: runs.Run }): Figures => {
+  const { window, deployment } = run
+  const seconds = (window.untilMs - window.fromMs) / 1000
+  const ended = tally.ended.filter(({ job }) => job.at >= window.fromMs && job.at < window.untilMs)
+  const flooding = new Set(run.jobs.filter((job) => job.flood).map((job) => job.type))
+  const ordinary = ended.filter(({ job }) => !flooding.has(job.type))
+  const complete = ordinary.filter(({ end }) => end.kind === 'complete')
+  const timesOf = (rank: number): number[] =>
+    complete.filter(({ job }) => workload.rankOf(job.type) === rank).map(({ responseMs }) => responseMs)
+  const outcomes = new Map<string, number>()
+  const refusals = new Map<string, number>()
+  for (const { job, end } of ended) {
+    const kind = job.flood ? `flood ${end.kind}` : end.kind
+    outcomes.set(kind, (outcomes.get(kind) ?? 0) + 1)
+    if (end.kind !== 'refused') continue
+    const reason = job.flood ? `flood ${end.reason}` : end.reason
+    refusals.set(reason, (refusals.get(reason) ?? 0) + 1)
+  }
+  const decisions = new Map<string, number>()
+  for (const { event } of tally.decisions) decisions.set(event, (decisions.get(event) ?? 0) + 1)
+  let overhead = 0
+  for (const [kind, count] of tally.messages) if (kind !== 'start' && kind !== 'finished') overhead += count
+  const outs = tally.decisions.filter(({ event }) => event === 'worker-out').map(({ at }) => at)
+  const lastOut = Math.max(0, ...outs.slice(0, deployment.entries))
+  const tasks = complete.reduce((sum, { job }) => sum + job.runMs.length, 0)
+  return {
+    classes: Object.fromEntries([0, 1, 2].map((rank) => [rank, percentiles(timesOf(rank))])),
+    otherThroughput: tasks / seconds,
+    otherP99: percentiles(complete.map(({ responseMs }) => responseMs)).p99,
+    busy: tally.busyMs / (seconds * 1000 * deployment.slots * deployment.workers),
+    overhead: overhead / Math.max(1, tally.started),
+    heartbeats: (tally.messages.get('heartbeat') ?? 0) / Math.max(1, tally.started),
+    messages: rounded(tally.messages),
+    rejected: rounded(tally.rejected),
+    outcomes: rounded(outcomes),
+    refusals: rounded(refusals),
+    urgentRefusedWhileLessUrgentRan: ordinary.filter(({ job, end, whileLessUrgent }) =>
+      end.kind === 'refused' && whileLessUrgent && workload.rankOf(job.type) === 0).length,
+    served: rounded(tally.served),
+    sabotaged: tally.sabotaged.length,
+    sabotagedBeforeOut: tally.sabotaged.filter((at) => at <= lastOut || outs.length === 0).length,
+    mostRunning: rounded(tally.mostRunning),
+    started: tally.started,
+    decisions: rounded(decisions)
+  }
+}
