--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -16,7 +16,7 @@
   .option('only', { type: 'string', default: '', describe: 'part of the names of the scenarios to run' })
   .option('ablations', { type: 'boolean', default: true, describe: 'also run the ablations' })
   .option('out', { type: 'string', default: 'packages/bench/out', describe: 'directory of the report' })
-  .option('record', { type: 'string', describe: 'commit under which the figures are recorded for comparison' })
+  .option('record', { type: 'string', describe: 'date and commit, such as 2026-12-04-0579723, under which the figures are recorded' })
   .strict()
   .parseSync()
 
