--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -5,7 +5,7 @@
 /** Entries, agents and jobs are meant by number, modulo how many there are at the time. Times are in ms. */
 export type Action =
   | { kind: 'submit', runMs: number[], idempotent: boolean, issuer: number | undefined, entry: number, waitMs: number }
-  | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number }
+  | { kind: 'resubmit' | 'inquire' | 'cancel' | 'conflict', job: number, entry: number, waitMs?: number }
   | { kind: 'duplicate', job: number, entry: number, other: number }
   | { kind: 'abandon', job: number }
   | { kind: 'crash', process: number, silent: boolean, downMs: number }
@@ -148,6 +148,17 @@
   list(1, 5, at(500, 12_000, elsewhere)),
   list(0, 4, at(0, 12_000, action)))
 
+/** Starts are held back on their way to the agents while the owner is fenced. */
+const delayedStart = fc.tuple(
+  list(1, 1, at(0, 300, fc.constant({ kind: 'break', a: 0, b: 1 }))),
+  list(1, 1, at(0, 300, fc.record({ kind: kind('partition'), a: fc.constant(0), b: fc.constant(1), durationMs: longMs }))),
+  list(1, 1, at(300, 1200, fc.record({
+    kind: kind('split'), sides: fc.constantFrom(1, 1, 3, 5, 9), durationMs: fc.integer({ min: 1000, max: 2900 })
+  }))),
+  list(1, 4, at(0, 2500, ownJob)),
+  list(1, 4, at(1000, 4000, elsewhere)),
+  list(0, 3, at(0, 6000, action)))
+
 /** An owner is recovered while the store is down, and agents restart. */
 const recoveryInOutage = fc.tuple(
   list(1, 3, at(0, 500, ownJob)),
@@ -175,6 +186,7 @@
     { weight: 6, arbitrary: anything },
     { weight: 1, arbitrary: removedAgent.map((lists) => lists.flat()) },
     { weight: 1, arbitrary: isolatedOwner.map((lists) => lists.flat()) },
+    { weight: 1, arbitrary: delayedStart.map((lists) => lists.flat()) },
     { weight: 1, arbitrary: recoveryInOutage.map((lists) => lists.flat()) })
 })
 
@@ -199,6 +211,26 @@
   ])
 })
 
+const DEATH_FROM_MS = 300
+const DEATH_TO_MS = 2500
+
+/** Entry 0 dies while its jobs run, with all agents reachable and the store up; entry 1 is asked for each job once. */
+export const ownerDeath = (silent: boolean): fc.Arbitrary<Schedule> => fc.record({
+  seed: fc.integer({ min: 1, max: 0x7fffffff }),
+  profile: fc.constant(unhurried),
+  storeDownMs: fc.constant(0),
+  events: fc.tuple(
+    fc.array(fc.tuple(fc.nat({ max: DEATH_FROM_MS }), ownJob), { minLength: 1, maxLength: 4, size: 'max' }),
+    fc.integer({ min: DEATH_FROM_MS, max: DEATH_TO_MS }),
+    fc.nat({ max: 1000 })
+  ).map(([submissions, deathAt, delayMs]): Event[] => [
+    ...submissions.map(([time, value]) => ({ at: time, ...value })),
+    { at: deathAt, kind: 'crash', process: 0, silent, downMs: 60_000 },
+    ...submissions.map((_, job) =>
+      ({ at: deathAt + delayMs, kind: 'resubmit' as const, job, entry: 1, waitMs: 20_000 }))
+  ])
+})
+
 /** One line per event, in order of time. */
 export const format = (value: Schedule): string => {
   const lines = [...value.events].sort((a, b) => a.at - b.at).map(({ at, kind, ...rest }) =>
