--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -33,6 +33,9 @@
 /** Bound of all reserves, as a share of slots, against a type that floods. */
 const MAX_FLOOD_RESERVE = 0.02
 
+/** Longest wait in ms for the entry's own slots without asking for more, whatever the class's target. */
+const MAX_REPORT_WAIT_MS = 8000
+
 /** Time in ms after a recall for another entry's flood in which this entry keeps no reserve and asks promptly. */
 const PRESSED_MS = 2000
 
@@ -76,7 +79,7 @@
       ...parts,
       waiting: () => this.waitingByLevel(),
       fairSlots: () => this.hosts.slots() / this.position.count,
-      waitMs: (level) => this.targetWait(level) * policy.reportWait,
+      waitMs: (level) => Math.min(MAX_REPORT_WAIT_MS, this.targetWait(level) * policy.reportWait),
       isPressed: () => this.isPressed()
     })
   }
--- a/packages/placement/src/reports.ts
+++ b/packages/placement/src/reports.ts
@@ -10,6 +10,9 @@
 /** Longest wait in ms for the own slots of an entry that is short of them, or while a flood takes what is left. */
 const PROMPT_WAIT_MS = 20
 
+/** Even part of the slots below which an entry always asks promptly: so few slots differ much from what it needs. */
+const SMALL_PART = 8
+
 interface Parts {
   hosts: hosts.Hosts
   queues: queues.Queues
@@ -70,7 +73,7 @@
     const [meanMs, running] = pace()
     const even = fairSlots()
     const short = workers.held() < even * SHORT ? Math.floor(even * REFILL) - workers.held() : 0
-    const pressed = isPressed()
+    const pressed = isPressed() || even < SMALL_PART
     let [ahead, most] = [0, 0]
     for (const [level, tasks] of waiting.entries()) {
       ahead += tasks
--- a/packages/slots/src/division.ts
+++ b/packages/slots/src/division.ts
@@ -64,6 +64,8 @@
   const holders = new Map<types.LinkId, Holder>()
   let free = total
   let closed = false
+  /** Time in ms of the latest call. */
+  let time = 0
 
   const linked = (): Holder[] => [...holders.values()].filter((holder) => holder.connected)
   const best = (candidates: Holder[]): Holder =>
@@ -71,9 +73,11 @@
 
   /** True if the entry has wanted slots for so long that no unused slot is left to others. */
   const isLasting = (holder: Holder, now: number): boolean =>
-    wants(holder) > 0 && now - holder.wantedSince >= LASTING_MS
+    wants(holder) > 0 && now >= holder.wantedSince + LASTING_MS
 
   const divide = (now: number): slots.Move[] => {
+    time = now
+    for (const holder of holders.values()) if (now >= holder.keptAt + KEPT_MS) holder.kept = 0
     const entries = linked()
     if (closed || entries.length === 0) return []
     const grants = new Map<Holder, number>()
@@ -145,7 +149,6 @@
     demand: (link, waiting, now) => {
       const holder = holders.get(link)
       if (!holder?.connected) return []
-      for (const other of holders.values()) if (now - other.keptAt > KEPT_MS) other.kept = 0
       if (wants(holder) === 0) holder.wantedSince = now
       holder.wanted = [...waiting]
       return divide(now)
@@ -189,9 +192,17 @@
       return divide(now)
     },
     deadline: () => {
-      if (!linked().some((holder) => wants(holder) > 0)) return undefined
-      const oldest = Math.min(...linked().map((holder) => holder.fresh[0] ?? Infinity))
-      return oldest === Infinity ? undefined : oldest + FRESH_MS
+      const entries = linked()
+      const wanting = entries.filter((holder) => wants(holder) > 0)
+      if (wanting.length === 0) return undefined
+      // Without these, wants would stay unmet when no task ends and no message comes.
+      const times = [
+        ...entries.map((holder) => (holder.fresh[0] ?? Infinity) + FRESH_MS),
+        ...entries.filter((holder) => holder.kept > 0).map((holder) => holder.keptAt + KEPT_MS),
+        ...wanting.map((holder) => holder.wantedSince + LASTING_MS).filter((at) => at > time)
+      ]
+      const next = Math.min(...times)
+      return next === Infinity ? undefined : next
     }
   }
 }
