--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -148,7 +148,7 @@
   })
 
   const state = (): status.Status => {
-    const { incarnation: owner, draining, jobs, waitingTasks, runningTasks, bytes } = core.status()
+    const { incarnation: owner, draining, jobs, waitingTasks, runningTasks, backlog, bytes } = core.status()
     return {
       kind: 'status',
       name: name as types.EntryName,
@@ -160,6 +160,7 @@
       jobs,
       waitingTasks,
       runningTasks,
+      queues: backlog,
       bytes,
       entries: peers.list('entry'),
       agents: peers.list('agent'),
@@ -176,7 +177,7 @@
   const server = servers.create({
     requests,
     keys,
-    limits: { ...limits.defaults, maxBodyBytes: given.http.maxBodyBytes },
+    limits: limits.create(given.http.maxBodyBytes),
     refused: measured.refused,
     operator: {
       token: given.operators?.token,
@@ -220,11 +221,11 @@
   })
 
   const end = async (): Promise<void> => {
-    log.info('stopping', { jobs: core.status().jobs, requests: requests.open() })
+    log.info('entry-stopping', { jobs: core.status().jobs, requests: requests.open() })
     driver.input({ kind: 'drain' })
     await driver.drained
     await kernel.stop()
-    log.info('stopped')
+    log.info('entry-stopped')
     resolveEnded()
   }
   const stop = (): Promise<void> => {
@@ -233,7 +234,7 @@
   }
   await kernel.start()
   driver.input({ kind: 'timer' })
-  log.info('started', { http: httpAddress, links: address, incarnation })
+  log.info('entry-started', { http: httpAddress, links: address, incarnation })
   return {
     name,
     url: `http://${httpAddress}`,
