Let a benchmark's agent link to several entries

The capacity run measures what each further link costs an agent, but the agent of the live benchmark took one entry and one fixed worker name, so that two agents replaced each other in the membership. The role takes a list of entries and an optional worker name now, and the reading of a process's memory can be used for any process.

--- a/packages/live-bench/src/children.ts
+++ b/packages/live-bench/src/children.ts
@@ -22,6 +22,12 @@
 
 const field = (status: string, name: string): number => Number(new RegExp(`^${name}:\\s+(\\d+) kB`, 'm').exec(status)?.[1]) / 1024
 
+/** Memory in MB of a process: anonymous, and all that is resident. */
+export const memoryOf = (pid: number): { anonymousMb: number, residentMb: number } => {
+  const status = fs.readFileSync(`/proc/${pid}/status`, 'utf8')
+  return { anonymousMb: field(status, 'RssAnon'), residentMb: field(status, 'VmRSS') }
+}
+
 const spawn = async <Answer>(given: roles.Role | callers.Load): Promise<Child<Answer>> => {
   const child = childProcess.fork(BUNDLE, { execArgv: [] })
   const { pid } = child
@@ -38,10 +44,7 @@
       const fields = statistics.slice(statistics.lastIndexOf(')') + 2).split(' ')
       return (Number(fields[USER_TIME_FIELD]) + Number(fields[SYSTEM_TIME_FIELD])) * TICK_MS
     },
-    memory: () => {
-      const status = fs.readFileSync(`/proc/${pid}/status`, 'utf8')
-      return { anonymousMb: field(status, 'RssAnon'), residentMb: field(status, 'VmRSS') }
-    },
+    memory: () => memoryOf(pid!),
     stop: () => { child.kill('SIGKILL') }
   }
 }
--- a/packages/live-bench/src/main.ts
+++ b/packages/live-bench/src/main.ts
@@ -65,7 +65,7 @@
   const entry = await children.start({ role: 'entry', platform: url, logLevel: 'info' })
   const backend = await children.start({ role: 'backend', runMs: RUN_MS })
   const agent = await children.start({
-    role: 'agent', platform: url, entry: entry.answer['address']!, slots: 8, backend: backend.answer['url']!
+    role: 'agent', platform: url, entries: [entry.answer['address']!], slots: 8, backend: backend.answer['url']!
   })
   await sleep(5000)
   const address = agent.answer['address']!
--- a/packages/live-bench/src/roles/roles.ts
+++ b/packages/live-bench/src/roles/roles.ts
@@ -2,7 +2,7 @@
 
 export interface PlatformRole { role: 'platform' }
 export interface EntryRole { role: 'entry', platform: string, logLevel: logs.Level }
-export interface AgentRole { role: 'agent', platform: string, entry: string, slots: number, backend: string }
+export interface AgentRole { role: 'agent', platform: string, entries: string[], slots: number, backend: string, worker?: string }
 export interface BackendRole { role: 'backend', runMs: number }
 /** Several agents in one process, each with a link of its own and a timer in place of a backend server. */
 export interface FleetRole { role: 'fleet', entry: string, agents: number, slots: number, runMs: number, first: number }
