--- a/packages/capacity/src/measure.ts
+++ b/packages/capacity/src/measure.ts
@@ -6,17 +6,28 @@
 const collect = vm.runInNewContext('gc') as () => void
 
 const HEAP_RUNS = 3
+const MAX_COLLECTIONS = 12
+/** Change in bytes between two collections below which nothing more is being freed. */
+const SETTLED_BYTES = 2048
+
+/** Heap in use once it stops shrinking: code that has not run for a few collections is freed by the next one. */
+const settledHeap = (): number => {
+  let used = Infinity
+  for (let round = 0; round < MAX_COLLECTIONS; round++) {
+    collect()
+    const now = process.memoryUsage().heapUsed
+    if (used - now < SETTLED_BYTES) return now
+    used = now
+  }
+  return used
+}
 
 /** Heap in bytes that `create` leaves reachable through its result; the median of several runs. */
 export const heapBytes = (create: () => unknown): number => {
   const run = (): number => {
-    collect()
-    collect()
-    const before = process.memoryUsage().heapUsed
+    const before = settledHeap()
     const kept = create()
-    collect()
-    collect()
-    const after = process.memoryUsage().heapUsed
+    const after = settledHeap()
     return kept === undefined ? 0 : after - before
   }
   // The first run compiles the code.
