Let a worker out of rotation return, and back off after lasting rejections

Urgent work was never a trial, so a worker stayed out where all work is urgent. A full agent and an entry exchanged about one start and one rejection per ms. An entry without any worker refused jobs finally as never-runnable.

An entry now asks for one slot when a trial is due; urgent work is a trial after 10 s without other work; memory-limit and backend-unreachable pause a worker for 200 ms; an entry without workers waits.

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -34,7 +34,7 @@
   let settledAt = Infinity
 
   const neverRuns = (type: queues.Type, now: number): boolean => {
-    if (now < settledAt) return false
+    if (now < settledAt || workers.count() === 0) return false
     for (const { worker } of workers.all()) if (hosts.fits(worker.resources, type.rules.resources)) return false
     return true
   }
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -78,6 +78,7 @@
     this.reporter = reporting.create({
       ...parts,
       waiting: () => this.waitingByLevel(),
+      wantsTrial: (host, now) => this.health.wantsTrial(host.patient, now),
       fairSlots: () => this.hosts.slots() / this.position.count,
       waitMs: (level) => Math.min(MAX_REPORT_WAIT_MS, this.targetWait(level) * policy.reportWait),
       isPressed: () => this.isPressed()
@@ -166,6 +167,7 @@
     const host = this.hosts.get(key.link)
     const task = this.running.get(keyOf(key.job, key.index))
     if (host && reason === 'no-resources') this.hosts.crowded(host, now)
+    if (host && (reason === 'memory-limit' || reason === 'backend-unreachable')) this.hosts.blocked(host, now)
     if (host && reason === 'unregistered') host.worker = { ...host.worker, registered: false }
     if (task && reason === 'backend-unreachable') {
       this.note(task.host, { type: task.flow.type.rules.name, failed: true, runMs: 0 }, now)
@@ -226,7 +228,8 @@
   }
 
   override deadline (): number | undefined {
-    const at = Math.min(this.firstDue()?.dueAt ?? Infinity, this.reporter.deadline() ?? Infinity)
+    const wakeAt = this.queues.active.size > 0 ? this.hosts.wakeAt(this.time) : undefined
+    const at = Math.min(this.firstDue()?.dueAt ?? Infinity, this.reporter.deadline() ?? Infinity, wakeAt ?? Infinity)
     return at === Infinity ? undefined : at
   }
 
@@ -301,9 +304,9 @@
   private start (flow: queueing.Flow, now: number): placement.Dispatch | undefined {
     const { rules, level, runTimes } = flow.type
     const { resources, timeLimitMs } = rules
-    const trial = level >= this.queues.levels() - 2
+    const urgent = level < this.queues.levels() - 2
     const job = this.queues.head(flow)
-    const host = job && this.hosts.choose({ resources, registeredOnly: flow.registeredOnly, trial }, now)
+    const host = job && this.hosts.choose({ resources, registeredOnly: flow.registeredOnly, urgent }, now)
     if (!job || !host) return undefined
     const index = this.queues.take(job)
     job.started = true
--- a/packages/placement/src/health.test.ts
+++ b/packages/placement/src/health.test.ts
@@ -18,4 +18,16 @@
     checks.admit(peer)
     expect(failAll(checks, only)).to.include('worker-out')
   })
+
+  // Where all work is urgent, a worker that is well again would otherwise stay out for good.
+  it('lets urgent work be a trial when nothing less urgent came for long', () => {
+    const checks = health.create({ enabled: true })
+    const [peer, patient] = [health.createPatient(), health.createPatient()]
+    for (const one of [peer, patient]) checks.admit(one)
+    expect(failAll(checks, patient)).to.include('worker-out')
+    const dueAt = patient.trialAt
+    expect(checks.wantsTrial(patient, dueAt)).to.equal(true)
+    expect(checks.wantsTrial(patient, dueAt, true)).to.equal(false)
+    expect(checks.wantsTrial(patient, dueAt + 10_000, true)).to.equal(true)
+  })
 })
--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -16,6 +16,8 @@
 const TRIALS_TO_RETURN = 3
 const FIRST_TRIAL_MS = 2000
 const LAST_TRIAL_MS = 60_000
+/** Time in ms that a due trial task waits for less urgent work before urgent work may be one. */
+const URGENT_TRIAL_DELAY_MS = 10_000
 /** Largest share of workers out of rotation; beyond it the cause is not the workers. */
 const MAX_OUT = 1 / 3
 /** Outcomes after which an old one has lost about two thirds of its weight. */
@@ -55,8 +57,8 @@
   remove (patient: Patient): void
   /** True if another task may go to the worker in the ordinary way. */
   accepts (patient: Patient): boolean
-  /** True if a trial task is due. */
-  wantsTrial (patient: Patient, now: number): boolean
+  /** True if a trial task is due; an `urgent` one only where no other came for long. */
+  wantsTrial (patient: Patient, now: number, urgent?: boolean): boolean
   /** Returns the event if the worker left or returned to rotation. */
   record (patient: Patient, result: Result, now: number): 'worker-out' | 'worker-back' | undefined
   /** Share of a type's tasks that failed on the other workers. */
@@ -137,7 +139,8 @@
     remove: (patient) => { patients.delete(patient) },
     accepts: ({ out, failureEvidence, running }) =>
       !enabled || (!out && (failureEvidence < SUSPICION || running === 0)),
-    wantsTrial: ({ out, running, trialAt }, now) => out && running === 0 && now >= trialAt,
+    wantsTrial: ({ out, running, trialAt }, now, urgent = false) =>
+      out && running === 0 && now >= trialAt + (urgent ? URGENT_TRIAL_DELAY_MS : 0),
     record: (patient, result, now) => {
       weighFailure(patient, result)
       weighSlowness(patient, result)
--- a/packages/placement/src/hosts.ts
+++ b/packages/placement/src/hosts.ts
@@ -5,8 +5,8 @@
 
 /** Workers looked at for one task; a fleet of thousands is sampled. */
 const SAMPLE = 12
-/** Time in ms for which no task goes to a worker that rejected one for lack of resources. */
-const RESOURCE_BACKOFF_MS = 200
+/** Time in ms for which a worker gets less or no work after it rejected a task for a reason that lasts. */
+const REJECTION_BACKOFF_MS = 200
 
 export interface Host {
   link: types.LinkId
@@ -21,13 +21,15 @@
   position: number
   /** No task that needs more than its share of resources starts here before this time. */
   crowdedUntil: number
+  /** No task starts here before this time. */
+  blockedUntil: number
 }
 
 export interface Need {
   resources: types.Resources
   registeredOnly: boolean
-  /** True if the task may be a trial of a worker out of rotation. */
-  trial: boolean
+  /** Urgent tasks are trials of a worker out of rotation only where no other comes for long. */
+  urgent: boolean
 }
 
 export const heldBy = (host: Host): number => host.granted + host.patient.running
@@ -47,7 +49,12 @@
   take (host: Host, resources: types.Resources): void
   /** The task's slot is gone unless `grant` follows. */
   release (host: Host, resources: types.Resources): void
+  /** The worker rejected a task for lack of resources. */
   crowded (host: Host, now: number): void
+  /** The worker can start nothing now. */
+  blocked (host: Host, now: number): void
+  /** Earliest time in ms at which a worker may get work again after a rejection; undefined for none. */
+  wakeAt (now: number): number | undefined
   /** Number of linked workers. */
   count (): number
   /** Unused slots on workers in rotation or not. */
@@ -65,6 +72,8 @@
   const hosts = new Map<types.LinkId, Host>()
   /** Hosts with unused slots, in no order. */
   const open: Host[] = []
+  /** Ends of the backoffs, in order. */
+  const wakeTimes: number[] = []
   let unused = 0
   let held = 0
   let slots = 0
@@ -92,11 +101,12 @@
   }
 
   /** Rank of a host for a task: Infinity if it cannot take it, 0 or less if there is no reason to look further. */
-  const score = (host: Host, { resources, registeredOnly, trial }: Need, now: number): number => {
+  const score = (host: Host, { resources, registeredOnly, urgent }: Need, now: number): number => {
     const { worker, used, patient } = host
     if (registeredOnly && !worker.registered) return Infinity
     if (!fits(worker.resources, resources, used)) return Infinity
-    if (trial && checks.wantsTrial(patient, now)) return -Infinity
+    if (now < host.blockedUntil) return Infinity
+    if (checks.wantsTrial(patient, now, urgent)) return -Infinity
     if (!checks.accepts(patient)) return Infinity
     // Other entries' tasks are not known here; within its share of slots an entry's tasks always fit.
     const crowded = !fits(worker.resources, resources, used, heldBy(host) / worker.slots)
@@ -120,7 +130,9 @@
     add: (link, worker) => {
       const patient = health.createPatient()
       const used = { cores: 0, memoryMb: 0, accelerators: 0 }
-      hosts.set(link, { link, worker, granted: 0, used, patient, wanted: 0, position: -1, crowdedUntil: 0 })
+      hosts.set(link, {
+        link, worker, granted: 0, used, patient, wanted: 0, position: -1, crowdedUntil: 0, blockedUntil: 0
+      })
       checks.admit(patient)
       slots += worker.slots
     },
@@ -145,7 +157,18 @@
       host.patient.running--
       account(host, resources, -1)
     },
-    crowded: (host, now) => { host.crowdedUntil = now + RESOURCE_BACKOFF_MS },
+    crowded: (host, now) => {
+      host.crowdedUntil = now + REJECTION_BACKOFF_MS
+      wakeTimes.push(host.crowdedUntil)
+    },
+    blocked: (host, now) => {
+      host.blockedUntil = now + REJECTION_BACKOFF_MS
+      wakeTimes.push(host.blockedUntil)
+    },
+    wakeAt: (now) => {
+      while (wakeTimes.length > 0 && wakeTimes[0]! <= now) wakeTimes.shift()
+      return wakeTimes[0]
+    },
     count: () => hosts.size,
     unused: () => unused,
     held: () => held,
--- a/packages/placement/src/reports.ts
+++ b/packages/placement/src/reports.ts
@@ -12,12 +12,16 @@
 
 /** Even part of the slots below which an entry always asks promptly: so few slots differ much from what it needs. */
 const SMALL_PART = 8
+/** Interval in ms at which workers out of rotation are looked at for a trial task. */
+const TRIAL_CHECK_MS = 1000
 
 interface Parts {
   hosts: hosts.Hosts
   queues: queues.Queues
   /** Waiting tasks by level that a slot could start. */
   waiting: () => number[]
+  /** True if the worker is out of rotation and a trial task is due. */
+  wantsTrial: (host: hosts.Host, now: number) => boolean
   /** This entry's even part of the fleet's slots. */
   fairSlots: () => number
   /** True while a flood takes all slots that other work leaves. */
@@ -54,9 +58,10 @@
  * none is sent for work that the entry's own slots start soon, and each agent is asked for a part only.
  */
 export const create = (
-  { hosts: workers, queues: all, waiting: count, fairSlots, isPressed, waitMs }: Parts
+  { hosts: workers, queues: all, waiting: count, wantsTrial, fairSlots, isPressed, waitMs }: Parts
 ): Reports => {
   let nextAt = 0
+  let trialCheckAt = 0
   let pending = false
 
   /** Mean run time in ms and number of the entry's running tasks. */
@@ -108,25 +113,41 @@
   const cancel = (): placement.Report[] => {
     const reports: placement.Report[] = []
     for (const host of workers.all()) {
-      if (host.wanted === 0) continue
+      if (host.wanted === 0 || host.patient.out) continue
       host.wanted = 0
       reports.push({ link: host.link, waiting: [] })
     }
     return reports
   }
+  /** Demand of one slot for the least urgent work, from which a worker out of rotation gets its trial tasks. */
+  const trialDemand = (): number[] => [...new Array<number>(Math.max(0, all.levels() - 1)).fill(0), 1]
+  /** An entry that holds no slot of a worker out of rotation could never take it back. */
+  const trials = (now: number): placement.Report[] => {
+    if (now < trialCheckAt) return []
+    trialCheckAt = now + TRIAL_CHECK_MS
+    const reports: placement.Report[] = []
+    for (const host of workers.all()) {
+      if (!wantsTrial(host, now) || hosts.heldBy(host) > 0 || host.wanted > 0) continue
+      host.wanted = 1
+      reports.push({ link: host.link, waiting: trialDemand() })
+    }
+    return reports
+  }
+  const ordinary = (now: number): placement.Report[] => {
+    pending = false
+    if (all.active.size === 0) return cancel()
+    const waiting = count()
+    const slots = missing(waiting)
+    if (slots <= 0) return []
+    pending = true
+    if (now < nextAt) return []
+    nextAt = now + INTERVAL_MS
+    return plan(waiting, slots)
+  }
   return {
-    due: (now) => {
-      pending = false
-      if (all.active.size === 0) return cancel()
-      const waiting = count()
-      const slots = missing(waiting)
-      if (slots <= 0) return []
-      pending = true
-      if (now < nextAt) return []
-      nextAt = now + INTERVAL_MS
-      return plan(waiting, slots)
-    },
+    due: (now) => [...trials(now), ...ordinary(now)],
     of: (host) => {
+      if (host.patient.out) return host.wanted === 0 ? [] : trialDemand()
       const waiting = count()
       const spread = Math.ceil(missing(waiting) / Math.max(1, workers.count()))
       host.wanted = 0
