Compare every faultless job with the naive dispatcher, failing ones task by task

Cause: with slots that are granted later, a task can wait when another one of its job fails; it is then withdrawn, as the design says, while the naive dispatcher runs it. The comparison excluded such jobs or failed on them.

A filter on mocha's command line now chooses tests by itself, so that a listed test can be run alone.

--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -13,7 +13,9 @@
 
 const escape = (text) => text.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')
 
-const titles = readTitles()
+// A filter on the command line chooses the tests by itself, so that a listed test can be run alone.
+const hasFilter = process.argv.some((argument) => /^(-g|-f|--grep|--fgrep)/.test(argument))
+const titles = hasFilter ? [] : readTitles()
 for (const title of titles) process.stderr.write(`known red, not run: ${title}\n`)
 
 module.exports = {
--- a/packages/explore/src/events.ts
+++ b/packages/explore/src/events.ts
@@ -45,8 +45,8 @@
 
 const LAST_EVENT_MS = 12_000
 const MAX_EVENTS = 30
-/** Well below the time limit of the task type. */
-const LONGEST_SAFE_MS = 1900
+/** Later than the end of all first submissions, also where the naive dispatcher runs every task of failed jobs. */
+const AGAIN_FROM_MS = 16_000
 
 const number = fc.nat({ max: 11 })
 const processNumber = fc.nat({ max: 5 })
@@ -190,12 +190,6 @@
     { weight: 1, arbitrary: recoveryInOutage.map((lists) => lists.flat()) })
 })
 
-/** A failure aborts the other tasks of an idempotent job at a time that differs, so such a job fails alone. */
-const runMsOf = ({ idempotent, runMs: list }: { idempotent: boolean, runMs: number[] }): number[] => {
-  const late = idempotent ? list.find((value) => value > LONGEST_SAFE_MS) : undefined
-  return late === undefined ? list : [late]
-}
-
 /** Work without any fault: every job is submitted before any is submitted again, and callers wait for the outcome. */
 export const faultless: fc.Arbitrary<Schedule> = fc.record({
   seed: fc.integer({ min: 1, max: 0x7fffffff }),
@@ -203,10 +197,10 @@
   storeDownMs: fc.constant(0),
   events: fc.tuple(
     fc.array(fc.tuple(fc.nat({ max: 2000 }), submit), { minLength: 1, maxLength: 8, size: 'max' }),
-    fc.array(fc.tuple(fc.integer({ min: 5000, max: 7000 }),
+    fc.array(fc.tuple(fc.integer({ min: AGAIN_FROM_MS, max: AGAIN_FROM_MS + 2000 }),
       fc.record({ kind: kind('resubmit', 'conflict'), job: number, entry: number })), { maxLength: 8, size: 'max' })
   ).map(([first, again]): Event[] => [
-    ...first.map(([at, value]) => ({ at, ...value, runMs: runMsOf(value), waitMs: 60_000 })),
+    ...first.map(([at, value]) => ({ at, ...value, waitMs: 60_000 })),
     ...again.map(([at, value]) => ({ at, ...value }))
   ])
 })
