--- a/packages/capacity/src/series/tasks.ts
+++ b/packages/capacity/src/series/tasks.ts
@@ -54,9 +54,9 @@
 const JOB: placements.WaitingJob = {
   id: 'job' as types.JobId, team: regions.RULES.teams[0]!.name, type: regions.TYPE, tasks: 260, registeredOnly: false
 }
-const PLAN_INTERVAL_MS = 10
+const PLAN_INTERVAL_MS = 20
 
-/** Which agents to ask for slots, decided at most every 10 ms while tasks wait. */
+/** Which agents to ask for slots, decided at most every 20 ms while tasks wait. */
 export const reports = (sizes: number[], runs: number): series.Series => ({
   id: 'entry-reports',
   title: 'choice of the agents to ask for slots, time of each',
