Allow expired after an agent has dropped the records of an owner it lost early

Cause: the check of expired counted the time until an agent drops an owner's records from the opening of the job's block. The time now counts from the start of the run; the bound of retirement stays as it was.

--- a/packages/explore/src/check.ts
+++ b/packages/explore/src/check.ts
@@ -117,9 +117,11 @@
   const prefix = types.formatBlock(id.incarnation, id.view, id.block)
   const openedAt = run.callers.reservedAt(prefix) ?? 0
   const departures = id.view.kind === 'registered' ? id.view.departures : 0
-  const keptMs = Math.min(blockLifetimeMs + blockRetentionMs, orphanAfterMs + orphanRetentionMs)
-  const hasCause = run.membership.departures > departures || hasLostAgent(run)
-  if (at - openedAt < keptMs - 10 && !hasCause) {
+  const isRetired = at - openedAt >= blockLifetimeMs + blockRetentionMs - 10
+  // An agent drops all records of an owner whose link it lost, also if that was before the block was opened.
+  const mayBeDropped = at >= orphanAfterMs + orphanRetentionMs
+  const hasCause = run.membership.departures > departures || hasLostAgent(run) || isRetired || mayBeDropped
+  if (!hasCause) {
     report('expired has a cause', `${job} at ${at.toFixed(1)}, opened at ${openedAt.toFixed(1)}`)
   }
 }
