Use the field's terms for worker health and callers' targets

Patient, sabotaged and Door were figurative names; they are WorkerHealth, failedByWorker and Port now.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -42,7 +42,7 @@
   /** Run time in ms within the window. */
   busyMs: number
   /** Tasks that a worker that fails everything has failed, and the times at which they did. */
-  sabotaged: number[]
+  failedByWorker: number[]
   decisions: { at: number, event: string, entry: number, fields: Record<string, string | number | boolean> }[]
   /** Largest number of running tasks by team. */
   mostRunning: Map<string, number>
@@ -60,7 +60,7 @@
   started: 0,
   served: new Map(),
   busyMs: 0,
-  sabotaged: [],
+  failedByWorker: [],
   decisions: [],
   mostRunning: new Map()
 })
@@ -164,7 +164,7 @@
       }
       clock.after(runMs, () => {
         if (!end()) return
-        if (failed) tally.sabotaged.push(clock.monotonic())
+        if (failed) tally.failedByWorker.push(clock.monotonic())
         ended(failed, runMs)
       })
       return () => { end() }
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -28,9 +28,9 @@
   refusals: Record<string, number>
   urgentRefusedWhileLessUrgentRan: number
   served: Record<string, number>
-  sabotaged: number
+  failedByWorker: number
   /** Tasks that the faulty worker failed before the last entry that used it took it out of rotation. */
-  sabotagedBeforeOut: number
+  failedBeforeOut: number
   mostRunning: Record<string, number>
   started: number
   /** Decisions of placement by event. */
@@ -89,8 +89,8 @@
     urgentRefusedWhileLessUrgentRan: ordinary.filter(({ job, end, whileLessUrgent }) =>
       end.kind === 'refused' && whileLessUrgent && workload.rankOf(job.type) === 0).length,
     served: rounded(tally.served),
-    sabotaged: tally.sabotaged.length,
-    sabotagedBeforeOut: tally.sabotaged.filter((at) => at <= lastOut || outs.length === 0).length,
+    failedByWorker: tally.failedByWorker.length,
+    failedBeforeOut: tally.failedByWorker.filter((at) => at <= lastOut || outs.length === 0).length,
     mostRunning: rounded(tally.mostRunning),
     started: tally.started,
     decisions: rounded(decisions)
--- a/packages/bench/src/targets.test.ts
+++ b/packages/bench/src/targets.test.ts
@@ -61,7 +61,7 @@
     it('a worker that fails everything leaves rotation early and returns when it is well', () => {
       const own = compares.ownFigures(find('worker fails everything'), options)
       expect(own.decisions['worker-out'], 'entries that noticed').to.be.at.least(deployment.entries)
-      expect(own.sabotagedBeforeOut).to.be.at.most(TARGET.lostPerSlot * deployment.slots)
+      expect(own.failedBeforeOut).to.be.at.most(TARGET.lostPerSlot * deployment.slots)
       expect(own.decisions['worker-back'], 'entries that use it again').to.be.at.least(deployment.entries)
     })
 
--- a/packages/explore/src/fakes/callers.ts
+++ b/packages/explore/src/fakes/callers.ts
@@ -39,7 +39,7 @@
 }
 
 /** An entry process as callers reach it. */
-export interface Door {
+export interface Port {
   /** Name and life. */
   label: string
   accepts (): boolean
@@ -50,13 +50,13 @@
   jobs: Job[]
   requests: Request[]
   /** Makes a job with an id from a block of `issuer`, then submits it to `target`. Without an issuer it has no id. */
-  submit (work: { runMs: number[], idempotent: boolean }, issuer: Door | undefined, target: Door, waitMs: number): void
-  resubmit (job: Job, target: Door, waitMs: number): Request | undefined
+  submit (work: { runMs: number[], idempotent: boolean }, issuer: Port | undefined, target: Port, waitMs: number): void
+  resubmit (job: Job, target: Port, waitMs: number): Request | undefined
   /** Submits other content under the id of the job. */
-  conflict (job: Job, target: Door): void
-  inquire (job: Job, target: Door): void
-  cancel (job: Job, target: Door): void
-  abandon (job: Job, doorOf: (label: string) => Door | undefined): void
+  conflict (job: Job, target: Port): void
+  inquire (job: Job, target: Port): void
+  cancel (job: Job, target: Port): void
+  abandon (job: Job, portOf: (label: string) => Port | undefined): void
   received (request: types.RequestId): void
   answered (request: types.RequestId, outcome: types.Outcome): void
   reserved (request: types.RequestId, reservation: entryCore.Reservation): void
@@ -99,7 +99,7 @@
     digest: `digest-${content.token}` as types.Digest
   })
   const post = (
-    job: Job, kind: Request['kind'], target: Door, content: Content | undefined,
+    job: Job, kind: Request['kind'], target: Port, content: Content | undefined,
     input: (id: types.RequestId) => entryCore.Input
   ): Request => {
     const request: Request = {
@@ -122,7 +122,7 @@
     timers.after(delayMs(), () => { if (target.accepts()) target.input(message) })
     return request
   }
-  const send = (job: Job, content: Content, target: Door, waitMs: number): Request =>
+  const send = (job: Job, content: Content, target: Port, waitMs: number): Request =>
     post(job, 'submit', target, content, (request) =>
       ({ kind: 'submit', request, submission: submissionOf(content, job.id), waitMs }))
 
@@ -158,12 +158,12 @@
       const id = job.id
       if (id) post(job, 'cancel', target, undefined, (request) => ({ kind: 'cancel', request, job: id, waitMs: 1000 }))
     },
-    abandon: (job, doorOf) => {
+    abandon: (job, portOf) => {
       const open = job.requests.filter((request) => request.answers.length === 0 && !request.abandoned)
       for (const request of open) {
-        const door = doorOf(request.entry)
+        const port = portOf(request.entry)
         request.abandoned = true
-        if (door) timers.after(delayMs() + 50, () => door.input({ kind: 'abandoned', request: request.id }))
+        if (port) timers.after(delayMs() + 50, () => port.input({ kind: 'abandoned', request: request.id }))
       }
     },
     received: (id) => {
--- a/packages/explore/src/naive.ts
+++ b/packages/explore/src/naive.ts
@@ -32,7 +32,7 @@
   backend: backends.Backend
   answered (request: types.RequestId, outcome: types.Outcome): void
   reserved (request: types.RequestId, reservation: entryCore.Reservation): void
-}): callers.Door => {
+}): callers.Port => {
   const jobs = new Map<types.JobId, Job>()
   const table = new Set<string>()
   const queue: messages.Start[] = []
@@ -120,8 +120,8 @@
   const fail = (message: string): never => { throw new Error(message) }
   const side = callers.create({ timers, random: random.fork(), fail })
   const backend = backends.create({ timers, random: random.fork(), worker: 'naive', starts: [] })
-  const door = create({ timers, backend, answered: side.answered, reserved: side.reserved })
-  runs.submitAll(schedule, timers, side, () => door)
+  const port = create({ timers, backend, answered: side.answered, reserved: side.reserved })
+  runs.submitAll(schedule, timers, side, () => port)
   timers.advance(runs.LIVENESS_MS)
   return side
 }
--- a/packages/explore/src/processes.ts
+++ b/packages/explore/src/processes.ts
@@ -19,7 +19,7 @@
 }
 
 /** One life of an entry or agent process around its core. */
-export interface Process extends callers.Door {
+export interface Process extends callers.Port {
   name: string
   role: 'entry' | 'agent'
   life: number
--- a/packages/explore/src/run.ts
+++ b/packages/explore/src/run.ts
@@ -70,7 +70,7 @@
 
 type RequestAction = events.Action & { kind: 'submit' | 'duplicate' | 'resubmit' | 'inquire' | 'cancel' | 'conflict' }
 
-const request = (action: RequestAction, side: callers.Callers, entry: (index: number) => callers.Door): void => {
+const request = (action: RequestAction, side: callers.Callers, entry: (index: number) => callers.Port): void => {
   if (action.kind === 'submit') {
     const issuer = action.issuer === undefined ? undefined : entry(action.issuer)
     side.submit(action, issuer, entry(action.entry), action.waitMs)
@@ -84,9 +84,9 @@
   else side[action.kind](job, entry(action.entry))
 }
 
-/** Gives the callers' requests of a schedule to one door after the other, without any fault. */
+/** Gives the callers' requests of a schedule to one port after the other, without any fault. */
 export const submitAll = (
-  schedule: events.Schedule, timers: clock.VirtualClock, side: callers.Callers, entry: (index: number) => callers.Door
+  schedule: events.Schedule, timers: clock.VirtualClock, side: callers.Callers, entry: (index: number) => callers.Port
 ): void => {
   for (const event of ordered(schedule)) {
     timers.advance(Math.max(0, START_UP_MS + event.at - timers.monotonic()))
@@ -209,7 +209,7 @@
   }
 
   const job = (index: number): callers.Job | undefined => callerSide.jobs[index % Math.max(1, callerSide.jobs.length)]
-  const doorOf = (label: string): callers.Door | undefined =>
+  const portOf = (label: string): callers.Port | undefined =>
     all.find((process) => process.label === label && process.host.alive())
   const act = (event: events.Action): void => {
     note(() => `EVENT ${JSON.stringify(event)}`)
@@ -219,7 +219,7 @@
         break
       case 'abandon': {
         const target = job(event.job)
-        if (target) callerSide.abandon(target, doorOf)
+        if (target) callerSide.abandon(target, portOf)
         break
       }
       case 'crash': {
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -78,7 +78,7 @@
     this.reporter = reporting.create({
       ...parts,
       waiting: () => this.waitingByLevel(),
-      wantsTrial: (host, now) => this.health.wantsTrial(host.patient, now),
+      wantsTrial: (host, now) => this.health.wantsTrial(host.health, now),
       fairSlots: () => this.hosts.slots() / this.position.count,
       waitMs: (level) => Math.min(MAX_REPORT_WAIT_MS, this.targetWait(level) * policy.reportWait),
       isPressed: () => this.isPressed()
@@ -315,7 +315,7 @@
     this.quotas.started(flow.team)
     const id = job.waiting.id
     this.running.set(keyOf(id, index), { host, flow, resources, chargedMs: runTimes.mean() })
-    const reason = host.patient.out ? 'trial' : level === flow.type.rank ? 'in order' : 'above fair share'
+    const reason = host.health.out ? 'trial' : level === flow.type.rank ? 'in order' : 'above fair share'
     return { link: host.link, job: id, index, limitMs: timeLimitMs, resources, reason }
   }
 
@@ -340,7 +340,7 @@
   }
 
   private note (host: workers.Host, result: healths.Result, now: number): void {
-    const event = this.health.record(host.patient, result, now)
+    const event = this.health.record(host.health, result, now)
     if (event) this.log.push({ event, fields: { worker: host.worker.name, type: result.type } })
   }
 
--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -31,7 +31,7 @@
 }
 
 /** What one entry knows of a worker's health. */
-export interface Patient {
+export interface WorkerHealth {
   out: boolean
   failureEvidence: number
   slownessEvidence: number
@@ -53,19 +53,19 @@
 }
 
 export interface Health {
-  admit (patient: Patient): void
-  remove (patient: Patient): void
+  admit (worker: WorkerHealth): void
+  remove (worker: WorkerHealth): void
   /** True if another task may go to the worker in the ordinary way. */
-  accepts (patient: Patient): boolean
+  accepts (worker: WorkerHealth): boolean
   /** True if a trial task is due; an `urgent` one only where no other came for long. */
-  wantsTrial (patient: Patient, now: number, urgent?: boolean): boolean
+  wantsTrial (worker: WorkerHealth, now: number, urgent?: boolean): boolean
   /** Returns the event if the worker left or returned to rotation. */
-  record (patient: Patient, result: Result, now: number): 'worker-out' | 'worker-back' | undefined
+  record (worker: WorkerHealth, result: Result, now: number): 'worker-out' | 'worker-back' | undefined
   /** Share of a type's tasks that failed on the other workers. */
-  peerFailures (patient: Patient, type: types.TaskTypeName): number
+  peerFailures (worker: WorkerHealth, type: types.TaskTypeName): number
 }
 
-export const createPatient = (): Patient => ({
+export const createWorkerHealth = (): WorkerHealth => ({
   out: false,
   failureEvidence: 0,
   slownessEvidence: 0,
@@ -90,67 +90,67 @@
  */
 export const create = ({ enabled }: { enabled: boolean }): Health => {
   const all = new Map<types.TaskTypeName, Tally>()
-  const patients = new Set<Patient>()
+  const workers = new Set<WorkerHealth>()
 
-  const peerFailures = ({ tallies }: Patient, type: types.TaskTypeName): number => {
+  const peerFailures = ({ tallies }: WorkerHealth, type: types.TaskTypeName): number => {
     const [total, own] = [all.get(type), tallies.get(type)]
     const ended = Math.max(0, (total?.ended ?? 0) - (own?.ended ?? 0))
     const failed = Math.min(ended, Math.max(0, (total?.failed ?? 0) - (own?.failed ?? 0)))
     return (failed + PRIOR.failed) / (ended + PRIOR.ended)
   }
-  const weighFailure = (patient: Patient, { type, failed }: Result): void => {
-    const share = Math.min(0.95, Math.max(0.002, peerFailures(patient, type)))
+  const weighFailure = (worker: WorkerHealth, { type, failed }: Result): void => {
+    const share = Math.min(0.95, Math.max(0.002, peerFailures(worker, type)))
     const evidence = failed ? Math.log(FAULTY_SHARE / share) : Math.log((1 - FAULTY_SHARE) / (1 - share))
-    patient.failureEvidence = Math.max(0, patient.failureEvidence + Math.min(MAX_FAILURE_EVIDENCE, evidence))
+    worker.failureEvidence = Math.max(0, worker.failureEvidence + Math.min(MAX_FAILURE_EVIDENCE, evidence))
   }
-  const weighSlowness = (patient: Patient, { failed, runMs, runTimes }: Result): void => {
+  const weighSlowness = (worker: WorkerHealth, { failed, runMs, runTimes }: Result): void => {
     if (failed || !runTimes) return
     const shift = SLOWDOWN / runTimes.spread()
     const evidence = runTimes.deviation(runMs) * shift - shift * shift / 2
-    patient.slownessEvidence = Math.max(0, patient.slownessEvidence + evidence)
+    worker.slownessEvidence = Math.max(0, worker.slownessEvidence + evidence)
   }
   const mayLeave = (): boolean => {
     // A single worker has no peers to stand out from, and without it nothing would run.
-    if (patients.size < 2) return false
+    if (workers.size < 2) return false
     let out = 0
-    for (const patient of patients) if (patient.out) out++
-    return out + 1 <= Math.max(1, patients.size * MAX_OUT)
+    for (const worker of workers) if (worker.out) out++
+    return out + 1 <= Math.max(1, workers.size * MAX_OUT)
   }
-  const leave = (patient: Patient, now: number): 'worker-out' | undefined => {
+  const leave = (worker: WorkerHealth, now: number): 'worker-out' | undefined => {
     if (!mayLeave()) return undefined
-    Object.assign(patient, { out: true, trialsPassed: 0, trialAt: now + patient.trialDelayMs })
+    Object.assign(worker, { out: true, trialsPassed: 0, trialAt: now + worker.trialDelayMs })
     return 'worker-out'
   }
-  const judgeTrial = (patient: Patient, { failed, runMs, runTimes }: Result, now: number): 'worker-back' | undefined => {
+  const judgeTrial = (worker: WorkerHealth, { failed, runMs, runTimes }: Result, now: number): 'worker-back' | undefined => {
     if (failed || (runTimes && runTimes.deviation(runMs) > TRIAL_DEVIATION)) {
-      patient.trialsPassed = 0
-      patient.trialDelayMs = Math.min(LAST_TRIAL_MS, patient.trialDelayMs * 2)
-      patient.trialAt = now + patient.trialDelayMs
+      worker.trialsPassed = 0
+      worker.trialDelayMs = Math.min(LAST_TRIAL_MS, worker.trialDelayMs * 2)
+      worker.trialAt = now + worker.trialDelayMs
       return undefined
     }
-    patient.trialAt = now
-    if (++patient.trialsPassed < TRIALS_TO_RETURN) return undefined
+    worker.trialAt = now
+    if (++worker.trialsPassed < TRIALS_TO_RETURN) return undefined
     const halved = { failureEvidence: SUSPICION, slownessEvidence: SLOWNESS_THRESHOLD / 2 }
-    Object.assign(patient, { out: false, ...halved })
+    Object.assign(worker, { out: false, ...halved })
     return 'worker-back'
   }
   return {
-    admit: (patient) => { patients.add(patient) },
-    remove: (patient) => { patients.delete(patient) },
+    admit: (worker) => { workers.add(worker) },
+    remove: (worker) => { workers.delete(worker) },
     accepts: ({ out, failureEvidence, running }) =>
       !enabled || (!out && (failureEvidence < SUSPICION || running === 0)),
     wantsTrial: ({ out, running, trialAt }, now, urgent = false) =>
       out && running === 0 && now >= trialAt + (urgent ? URGENT_TRIAL_DELAY_MS : 0),
-    record: (patient, result, now) => {
-      weighFailure(patient, result)
-      weighSlowness(patient, result)
+    record: (worker, result, now) => {
+      weighFailure(worker, result)
+      weighSlowness(worker, result)
       count(all, result.type, result.failed)
-      count(patient.tallies, result.type, result.failed)
+      count(worker.tallies, result.type, result.failed)
       if (!enabled) return undefined
       // Tasks that were dispatched before the worker left rotation are no trials.
-      if (patient.out) return now >= patient.trialAt ? judgeTrial(patient, result, now) : undefined
-      const stands = patient.failureEvidence > FAILURE_THRESHOLD || patient.slownessEvidence > SLOWNESS_THRESHOLD
-      return stands ? leave(patient, now) : undefined
+      if (worker.out) return now >= worker.trialAt ? judgeTrial(worker, result, now) : undefined
+      const stands = worker.failureEvidence > FAILURE_THRESHOLD || worker.slownessEvidence > SLOWNESS_THRESHOLD
+      return stands ? leave(worker, now) : undefined
     },
     peerFailures
   }
--- a/packages/placement/src/hosts.ts
+++ b/packages/placement/src/hosts.ts
@@ -14,7 +14,7 @@
   /** Unused granted slots. */
   granted: number
   used: types.Resources
-  patient: health.Patient
+  health: health.WorkerHealth
   /** Slots asked of the agent and not granted yet. */
   wanted: number
   /** Position in the list of hosts with unused slots, -1 if not listed. */
@@ -32,7 +32,7 @@
   urgent: boolean
 }
 
-export const heldBy = (host: Host): number => host.granted + host.patient.running
+export const heldBy = (host: Host): number => host.granted + host.health.running
 
 export const fits = (has: types.Resources, needed: types.Resources, used?: types.Resources, share = 1): boolean =>
   needed.cores + (used?.cores ?? 0) <= has.cores * share &&
@@ -102,12 +102,12 @@
 
   /** Rank of a host for a task: Infinity if it cannot take it, 0 or less if there is no reason to look further. */
   const score = (host: Host, { resources, registeredOnly, urgent }: Need, now: number): number => {
-    const { worker, used, patient } = host
+    const { worker, used, health: own } = host
     if (registeredOnly && !worker.registered) return Infinity
     if (!fits(worker.resources, resources, used)) return Infinity
     if (now < host.blockedUntil) return Infinity
-    if (checks.wantsTrial(patient, now, urgent)) return -Infinity
-    if (!checks.accepts(patient)) return Infinity
+    if (checks.wantsTrial(own, now, urgent)) return -Infinity
+    if (!checks.accepts(own)) return Infinity
     // Other entries' tasks are not known here; within its share of slots an entry's tasks always fit.
     const crowded = !fits(worker.resources, resources, used, heldBy(host) / worker.slots)
     if (crowded && now < host.crowdedUntil) return Infinity
@@ -128,33 +128,33 @@
     get: (link) => hosts.get(link),
     all: () => hosts.values(),
     add: (link, worker) => {
-      const patient = health.createPatient()
+      const own = health.createWorkerHealth()
       const used = { cores: 0, memoryMb: 0, accelerators: 0 }
       hosts.set(link, {
-        link, worker, granted: 0, used, patient, wanted: 0, position: -1, crowdedUntil: 0, blockedUntil: 0
+        link, worker, granted: 0, used, health: own, wanted: 0, position: -1, crowdedUntil: 0, blockedUntil: 0
       })
-      checks.admit(patient)
+      checks.admit(own)
       slots += worker.slots
     },
     remove: (link) => {
       const host = hosts.get(link)
       if (!host) return
       grant(host, -host.granted)
-      held -= host.patient.running
+      held -= host.health.running
       slots -= host.worker.slots
-      checks.remove(host.patient)
+      checks.remove(host.health)
       hosts.delete(link)
     },
     grant,
     take: (host, resources) => {
       grant(host, -1)
       held++
-      host.patient.running++
+      host.health.running++
       account(host, resources, 1)
     },
     release: (host, resources) => {
       held--
-      host.patient.running--
+      host.health.running--
       account(host, resources, -1)
     },
     crowded: (host, now) => {
--- a/packages/placement/src/reports.ts
+++ b/packages/placement/src/reports.ts
@@ -41,7 +41,7 @@
 
 /** Slots of a worker that this entry does not hold and has not asked for. */
 const available = (host: hosts.Host): number =>
-  host.patient.out ? 0 : Math.max(0, host.worker.slots - hosts.heldBy(host) - host.wanted)
+  host.health.out ? 0 : Math.max(0, host.worker.slots - hosts.heldBy(host) - host.wanted)
 
 /** Takes `slots` of the waiting tasks, the most urgent first. */
 const share = (waiting: number[], slots: number): number[] => {
@@ -113,7 +113,7 @@
   const cancel = (): placement.Report[] => {
     const reports: placement.Report[] = []
     for (const host of workers.all()) {
-      if (host.wanted === 0 || host.patient.out) continue
+      if (host.wanted === 0 || host.health.out) continue
       host.wanted = 0
       reports.push({ link: host.link, waiting: [] })
     }
@@ -147,7 +147,7 @@
   return {
     due: (now) => [...trials(now), ...ordinary(now)],
     of: (host) => {
-      if (host.patient.out) return host.wanted === 0 ? [] : trialDemand()
+      if (host.health.out) return host.wanted === 0 ? [] : trialDemand()
       const waiting = count()
       const spread = Math.ceil(missing(waiting) / Math.max(1, workers.count()))
       host.wanted = 0
