--- a/packages/mustarddeck/src/processes.test.ts
+++ b/packages/mustarddeck/src/processes.test.ts
@@ -1,8 +1,16 @@
+import * as fs from 'node:fs'
 import { expect } from 'chai'
 import type * as entries from '@mustarddeck/entry'
 import * as processes from './testing/processes.ts'
 import * as samples from './samples.ts'
 
+const PAGE = new URL('../../../docs/metrics-reference.md', import.meta.url)
+
+const namesOf = async (address: string): Promise<string[]> => {
+  const text = await (await fetch(`http://${address}/metrics`)).text()
+  return [...text.matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name!)
+}
+
 describe('four processes', function () {
   this.timeout(60_000)
   let deployment: processes.Deployment
@@ -28,6 +36,11 @@
       body: JSON.stringify({ ...sample.job, tasks })
     })
     expect(response.status).to.equal(200)
+
+    // A metric that the page does not name, or that nobody exports, misleads whoever builds an alert on it.
+    const exported = await Promise.all([new URL(entry.url).host, await agent.field('agent-started', 'address')].map(namesOf))
+    const documented = [...fs.readFileSync(PAGE, 'utf8').matchAll(/`([a-z_]+_[a-z_]+)`/g)].map(([, name]) => name)
+    expect([...new Set(documented)]).to.have.members([...new Set(exported.flat())])
     const outcome = await response.json() as { kind: string, results: { name: string, result: { payload: unknown } }[] }
     expect(outcome.kind).to.equal('complete')
     expect(outcome.results.map(({ name, result }) => ({ name, payload: result.payload }))).to.deep.equal(tasks)
