Share the settings of the measured entry between the capacity series

Two series held the same settings of an entry as copies; a change of one would have made their slopes describe different entries.

--- a/packages/capacity/src/region.ts
+++ b/packages/capacity/src/region.ts
@@ -57,6 +57,17 @@
   runMs?: number
 }
 
+/** Settings of every measured entry, so that all slopes describe the same one. */
+export const entrySettings = (name: string): entryCores.Settings => ({
+  name: name as types.EntryName,
+  maxBytes: 4e9,
+  blockLifetimeMs: 600_000,
+  blockRetentionMs: 900_000,
+  suspectAfterMs: 1000,
+  removeAgentAfterMs: 60_000,
+  retryAfterMs: 500
+})
+
 /** Entries and agents of one region with the real decision code, links without faults and a virtual clock. */
 export const create = ({ agents: agentCount, entries: entryCount = 1, slots = 8, runMs = 50 }: Options) => {
   const timers = clocks.createVirtual()
@@ -80,15 +91,7 @@
   const entries = Array.from({ length: entryCount }, (_, index): EntryProcess => {
     const generator = random.fork()
     const core = entryCores.create({
-      settings: {
-        name: `entry-${index}` as types.EntryName,
-        maxBytes: 4e9,
-        blockLifetimeMs: 600_000,
-        blockRetentionMs: 900_000,
-        suspectAfterMs: 1000,
-        removeAgentAfterMs: 60_000,
-        retryAfterMs: 500
-      },
+      settings: entrySettings(`entry-${index}`),
       placement: placements.create({ random: generator.fork(), position: { index, count: entryCount } }),
       random: generator
     })
--- a/packages/capacity/src/series/state.ts
+++ b/packages/capacity/src/series/state.ts
@@ -22,15 +22,7 @@
 const entryAfter = (jobs: number, tasks: number): entryCores.EntryCore => {
   const random = randoms.create(1)
   const core = entryCores.create({
-    settings: {
-      name: 'entry' as types.EntryName,
-      maxBytes: 4e9,
-      blockLifetimeMs: 600_000,
-      blockRetentionMs: 900_000,
-      suspectAfterMs: 1000,
-      removeAgentAfterMs: 60_000,
-      retryAfterMs: 500
-    },
+    settings: regions.entrySettings('entry'),
     placement: placements.create({ random }),
     random
   })
