Run on the users' platform: agents that account for their worker, entries that place waiting jobs

Cause: the product could not be deployed there; its ids, start records and slots need what the platform gives otherwise.

Change: runs (leased runs and their messages), run-agent (room, leases, ends), attended (queue and placement of jobs whose callers wait), sessions (links that know how long a peer trusts them), fleet (processes of a deployment), and platform/, which only translates.

--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -20,7 +20,7 @@
 
 module.exports = {
   import: 'tsx',
-  spec: ['packages/*/src/**/*.test.ts'],
+  spec: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
   timeout: 30000,
   forbidOnly: true,
   forbidPending: true,
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, env: ['node', 'mocha'], ignores: ['**/dist/**', '**/out/**'] }),
+  ...neostandard({ ts: true, env: ['node', 'mocha'], ignores: ['**/dist/**', '**/out/**', 'target/**'] }),
   {
     files: ['**/*.test.ts'],
     rules: { 'no-unused-expressions': 'off', '@typescript-eslint/no-unused-expressions': 'off' }
--- /dev/null
+++ b/packages/attended/src/dispatcher.ts
@@ -0,0 +1,296 @@
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import * as runs from '@mustarddeck/runs'
+import * as fleet from './agents.ts'
+import * as choice from './choice.ts'
+import * as learning from './estimates.ts'
+import type * as attended from './interface.ts'
+import * as jobs from './jobs.ts'
+
+/** Time in ms between reviews of waiting, lost and overdue tasks. */
+const REVIEW_MS = 20
+/** A run counts as standing still after this multiple of its expected run time and `MIN_OVERDUE_MS` more. */
+const OVERDUE_FACTOR = 3
+const MIN_OVERDUE_MS = 250
+/** Time in ms after which a caller that was refused should try again. */
+const RETRY_AFTER_MS = 1000
+/** Time in ms before the end of a caller's patience at which its answer is sent, so that it still arrives. */
+const ANSWER_MARGIN_MS = 40
+
+export interface Options {
+  timers: clock.Timers
+  log: log.Log
+  /** Zone of this entry; its own workers go before equally free ones elsewhere. */
+  zone: string
+  /** Longest time in ms that a run may go on after its agent has ceased to act for this entry. */
+  lapseAfterMs: number
+  send (link: number, message: runs.ToAgent): void
+}
+
+/** Orders for one agent that leave in one message. */
+type Batch = Map<fleet.Agent, jobs.TaskState[]>
+
+export const create = ({ timers, log, zone, lapseAfterMs, send }: Options): attended.Dispatcher => {
+  const agents = fleet.create()
+  const estimates = learning.create()
+  const byKey = new Map<runs.JobKey, jobs.JobState>()
+  /** Tasks that may be on a worker, also those of jobs that have ended. */
+  const unsettled = new Map<runs.TaskId, jobs.TaskState>()
+  const waiting = new Set<jobs.JobState>()
+  const outcomes: attended.Counts['outcomes'] = { completed: 0, failed: 0, cancelled: 0, 'not-run': 0, unknown: 0 }
+  let accepted = 0
+  let drainsBy: number | undefined
+  let placing = false
+
+  const estimateOf = (state: jobs.TaskState): number => estimates.of(state.job.job.queue.name, state.task)
+
+  const end = (state: jobs.JobState, outcome: attended.Outcome): void => {
+    if (state.ended) return
+    state.ended = true
+    waiting.delete(state)
+    if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
+    for (const task of state.tasks) stop(task)
+    outcomes[outcome.kind]++
+    log.info('job-end', {
+      job: state.job.key,
+      queue: state.job.queue.name,
+      outcome: outcome.kind,
+      reason: 'reason' in outcome ? outcome.reason : undefined,
+      tookMs: Math.round(timers.monotonic() - state.arrivedAt),
+      tasks: state.tasks.length
+    })
+    for (const answer of state.answers.splice(0)) answer(outcome)
+  }
+
+  const stop = (task: jobs.TaskState): void => {
+    if (task.phase === 'waiting' || task.phase === 'blocked') task.phase = 'done'
+    if (task.phase !== 'ordered' && task.phase !== 'running') return
+    task.phase = 'stopping'
+    send(task.agent!.link, { kind: 'stop', tasks: [task.task.id] })
+  }
+
+  /** The task is on no worker any more; it waits again if its job goes on. */
+  const settle = (task: jobs.TaskState): void => {
+    const id = task.task.id
+    if (task.agent) agents.settle(task.agent, id)
+    task.agent?.tasks.delete(id)
+    unsettled.delete(id)
+    task.phase = task.job.ended ? 'done' : 'waiting'
+    if (!task.job.ended) waiting.add(task.job)
+    placeSoon()
+  }
+
+  const onEnded = (agent: fleet.Agent, message: runs.EndedMessage): void => {
+    const task = unsettled.get(message.task)
+    if (!task || task.agent?.name !== agent.name) return
+    const { job } = task
+    const queue = job.job.queue.name
+    settle(task)
+    if (message.end === 'unstarted') {
+      if (message.reason === 'unwell') judge(task, agent, true, message.ranMs)
+      log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
+      if (message.reason !== 'no-room') task.avoid.add(agent.name)
+      return
+    }
+    job.mayHaveStarted = true
+    if (message.end === 'done') {
+      judge(task, agent, false, message.ranMs)
+      estimates.learn(queue, task.task, message.ranMs)
+      if (job.ended) return
+      task.phase = 'done'
+      if (jobs.complete(job, task)) end(job, { kind: 'completed' })
+      return
+    }
+    log.info('task-again', { task: task.task.id, agent: agent.name, end: message.end, failures: task.failures })
+    if (message.end === 'failed') onFailed(task, agent, message.ranMs)
+  }
+
+  const onFailed = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
+    judge(task, agent, true, ranMs)
+    task.failures++
+    task.avoid.add(agent.name)
+    if (task.failures >= task.job.job.queue.maxAttempts) end(task.job, { kind: 'failed', task: task.task.id })
+  }
+
+  const judge = ({ job, task }: jobs.TaskState, agent: fleet.Agent, failed: boolean, ranMs: number): void => {
+    const queue = job.job.queue.name
+    const result = {
+      type: queue as unknown as Parameters<typeof agents.health.peerFailures>[1],
+      failed,
+      runMs: estimates.scaled(task, ranMs),
+      runTimes: estimates.runTimes(queue)
+    }
+    agent.health.running = Math.max(0, agent.tasks.size)
+    const event = agents.health.record(agent.health, result, timers.monotonic())
+    if (event) log.warn(event, { agent: agent.name, queue })
+  }
+
+  const placeSoon = (): void => {
+    if (placing) return
+    placing = true
+    timers.after(0, () => {
+      placing = false
+      place()
+    })
+  }
+  /** Starts what fits, the jobs with the earliest latest start first. */
+  const place = (): void => {
+    if (waiting.size === 0) return
+    const batch: Batch = new Map()
+    const inOrder = [...waiting].sort((left, right) => left.latestStart - right.latestStart)
+    for (const job of inOrder) placeJob(job, batch)
+    for (const [agent, tasks] of batch) sendOrders(agent, tasks)
+  }
+  const placeJob = (job: jobs.JobState, batch: Batch): void => {
+    let left = 0
+    for (const task of job.tasks) {
+      if (task.phase !== 'waiting') continue
+      const agent = unsettled.has(task.task.id)
+        ? undefined
+        : choice.choose(agents, task, { zone, now: timers.monotonic() })
+      if (agent) order(task, agent, batch)
+      else left++
+    }
+    if (left === 0) waiting.delete(job)
+  }
+  const order = (task: jobs.TaskState, agent: fleet.Agent, batch: Batch): void => {
+    const tasks = batch.get(agent)
+    if (tasks) tasks.push(task)
+    else {
+      agent.sequence++
+      batch.set(agent, [task])
+    }
+    Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, orderedAt: timers.monotonic() })
+    agent.tasks.set(task.task.id, task)
+    agents.order(agent, task.task.id, task.task.amount)
+    unsettled.set(task.task.id, task)
+  }
+  const sendOrders = (agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
+    const bySpec = new Map<string, jobs.TaskState[]>()
+    for (const task of tasks) {
+      const spec = task.job.job.spec
+      bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
+    }
+    for (const [spec, group] of bySpec) {
+      const wanted = group.map(({ task, orders }) => ({ task: task.id, run: orders, amount: task.amount }))
+      send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: wanted })
+      for (const { task } of group) {
+        log.info('order', { task: task.id, agent: agent.name, freeMillicores: agent.free.millicores })
+      }
+    }
+  }
+
+  const giveUp = (job: jobs.JobState, now: number): void => {
+    if (now >= job.patienceEnds - ANSWER_MARGIN_MS) {
+      const pending = job.tasks.some(({ phase }) => phase !== 'waiting' && phase !== 'blocked')
+      if (!pending && !job.mayHaveStarted) return refuse(job, 'overload')
+      return end(job, { kind: 'unknown', reason: 'patience' })
+    }
+    if (now > job.latestStart && !hasBegun(job)) refuse(job, 'overload')
+  }
+  const hasBegun = (job: jobs.JobState): boolean =>
+    job.mayHaveStarted || job.tasks.some(({ phase }) => phase !== 'waiting' && phase !== 'blocked')
+  const refuse = (job: jobs.JobState, reason: attended.NotRunReason): void =>
+    end(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
+
+  const review = (): void => {
+    timers.after(REVIEW_MS, review)
+    const now = timers.monotonic()
+    for (const job of [...byKey.values()]) giveUp(job, now)
+    for (const task of [...unsettled.values()]) {
+      if (task.phase === 'lost' && now >= task.settledAt) {
+        log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
+        settle(task)
+      }
+      if (task.phase === 'running' && now > task.orderedAt + OVERDUE_FACTOR * estimateOf(task) + MIN_OVERDUE_MS) {
+        log.warn('run-overdue', { task: task.task.id, agent: task.agent?.name, expectedMs: Math.round(estimateOf(task)) })
+        judge(task, task.agent!, true, now - task.orderedAt)
+        task.avoid.add(task.agent!.name)
+        stop(task)
+      }
+    }
+    place()
+  }
+  timers.after(REVIEW_MS, review)
+
+  const canEverRun = (job: attended.Job): boolean => {
+    const workers = [...agents.all()].flatMap(({ worker }) => worker?.service === job.queue.service ? [worker] : [])
+    if (workers.length === 0) return true
+    return job.steps.every(({ tasks }) => tasks.every((task) => workers.some((worker) =>
+      runs.fits(task.amount, worker.capacity) && (!task.label || worker.labels.includes(task.label)))))
+  }
+  const submit = (job: attended.Job, answer: attended.Answer): void => {
+    const now = timers.monotonic()
+    const known = byKey.get(job.key)
+    if (known) {
+      known.answers.push(answer)
+      return
+    }
+    const state = jobs.create(job, now, (task) => estimates.of(job.queue.name, task), answer)
+    accepted++
+    log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.patienceMs })
+    byKey.set(job.key, state)
+    if (!canEverRun(job)) return refuse(state, 'never-runnable')
+    const chainMs = (state.latestStart - now - job.queue.objectiveMs) / Math.max(0.1, job.queue.stretch - 1)
+    if (drainsBy !== undefined && now + chainMs > drainsBy) return refuse(state, 'draining')
+    waiting.add(state)
+    place()
+  }
+
+  const lose = (task: jobs.TaskState, settledAt: number): void => {
+    task.phase = 'lost'
+    task.settledAt = settledAt
+  }
+  return {
+    submit,
+    abandon: (key, answer) => {
+      const job = byKey.get(key)
+      if (!job?.answers.includes(answer)) return
+      job.answers = job.answers.filter((other) => other !== answer)
+      if (job.answers.length === 0) end(job, { kind: 'unknown', reason: 'caller-gone' })
+    },
+    cancel: (key) => {
+      const job = byKey.get(key)
+      if (job) end(job, { kind: 'cancelled' })
+      return job !== undefined
+    },
+    state: (key) => {
+      const job = byKey.get(key)
+      return job && (hasBegun(job) ? 'running' : 'pending')
+    },
+    waiting: (queue) => {
+      let count = 0
+      for (const job of byKey.values()) if (job.job.queue.name === queue && !hasBegun(job)) count++
+      return count
+    },
+    agentUp: (link, name, life) => { agents.up(link, name, life) },
+    agentDown: (link, trustedUntil) => {
+      const agent = agents.down(link)
+      if (!agent) return
+      for (const task of agent.tasks.values()) lose(task, trustedUntil + lapseAfterMs)
+    },
+    receive: (link, message) => {
+      const agent = agents.get(link)
+      if (!agent) return
+      if (message.kind === 'room') {
+        agents.update(agent, message)
+        if (message.worker) settleFormerLife(agent)
+        return place()
+      }
+      if (message.kind === 'ended') return onEnded(agent, message)
+      const task = unsettled.get(message.task)
+      if (!task || task.agent !== agent) return
+      task.job.mayHaveStarted = true
+      if (task.phase === 'ordered') task.phase = 'running'
+    },
+    drain: (remainingMs) => { drainsBy = timers.monotonic() + remainingMs },
+    counts: () => ({ jobs: accepted, running: byKey.size, outcomes: { ...outcomes } })
+  }
+
+  /** An agent that has started again has seen its worker without runs before it says that there is room. */
+  function settleFormerLife ({ name, life }: fleet.Agent): void {
+    for (const task of [...unsettled.values()]) {
+      if (task.phase === 'lost' && task.agent?.name === name && task.agent.life !== life) settle(task)
+    }
+  }
+}
--- /dev/null
+++ b/packages/attended/src/index.ts
@@ -0,0 +1,2 @@
+export * from './interface.ts'
+export { create, type Options } from './dispatcher.ts'
--- /dev/null
+++ b/packages/fleet/src/agent.ts
@@ -0,0 +1,126 @@
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import * as runAgent from '@mustarddeck/run-agent'
+import type * as runs from '@mustarddeck/runs'
+import * as sessions from '@mustarddeck/sessions'
+import * as follow from './follow.ts'
+import type * as messages from './messages.ts'
+import * as discovery from './peers.ts'
+import type * as stores from './store.ts'
+
+/** Longest gap in ms that is no pause; below the time for which peers trust each other. */
+const PAUSE_LIMIT_MS = 300
+/** Time in ms before the write of the worker's row is tried again. */
+const KEEP_RETRY_MS = 500
+/** Time in ms after the start in which entries are expected to follow the store on behalf of the agent. */
+const FOLLOW_AFTER_MS = 2000
+
+export interface Options {
+  name: string
+  life: string
+  seeds: string[]
+  store: stores.Store
+  calls: runs.WorkerCalls
+  timers: clock.Timers
+  log: log.Log
+}
+
+/** The agent of one worker: serves the entries that it finds. */
+export interface AgentProcess {
+  runs: runAgent.Agent
+  /** The worker has told about itself. */
+  announced (worker: runs.Worker, clockMs: number | undefined): void
+  withdrawn (worker: runs.WorkerId): void
+  /** Starts nothing more and resolves when nothing runs any more. */
+  drain (): Promise<void>
+  stop (): void
+}
+
+export const create = ({ name, life, seeds, store, calls, timers, log }: Options): AgentProcess => {
+  const storeReachable = new Map<number, boolean>()
+  const startedAt = timers.monotonic()
+  let kept = ''
+  let stopped = false
+
+  const agent = runAgent.create({ calls, timers, log, send: (link, message) => links.send(link, message) })
+  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
+    log.warn('pause', { gapMs })
+    agent.resumed()
+    links.closeAll('process stood still')
+  })
+  const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
+    hello: { role: 'agent', name, life, address: '' },
+    timers,
+    log,
+    beforeInput: () => pauses.check(),
+    handler: {
+      up: (session) => {
+        peers.up(session)
+        const deployment = follower.current()
+        if (deployment) links.send(session.id, { kind: 'deployment', deployment })
+        agent.linkUp(session.id, session.peer.life)
+      },
+      message: (session, message) => {
+        if (message.kind === 'start' || message.kind === 'stop') agent.receive(session.id, message)
+        else if (message.kind === 'deployment') follower.offer(message.deployment)
+        else if (message.kind === 'entries') peers.learn(message.addresses)
+        else if (message.kind === 'status') storeReachable.set(session.id, message.storeReachable)
+        else log.warn('message-unexpected', { kind: message.kind, peer: session.peer.name })
+      },
+      down: (session) => {
+        peers.down(session)
+        storeReachable.delete(session.id)
+        agent.linkDown(session.id)
+      }
+    }
+  })
+  // Entries follow the store; where none of them reaches it, agents do, and pass on what they read.
+  const isNeeded = (): boolean => timers.monotonic() - startedAt > FOLLOW_AFTER_MS &&
+    ![...storeReachable.values()].includes(true)
+  const follower = follow.create({
+    store,
+    timers,
+    log,
+    isNeeded,
+    onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
+  })
+  const peers = discovery.create({ links, store, timers, log, seeds, tidies: false })
+
+  const keep = async (): Promise<void> => {
+    const value = JSON.stringify(agent.worker())
+    if (value === kept || stopped) return
+    const result = await store.write('workers', { key: name, value })
+    if (result.kind === 'ok') kept = value
+    else timers.after(KEEP_RETRY_MS, keep)
+  }
+  /** What the former life of this agent knew of its worker spares the wait for the next announcement. */
+  const recall = async (): Promise<void> => {
+    const result = await follow.hedged(() => store.row('workers', name), timers)
+    if (result.kind === 'error') return log.warn('worker-not-recalled', { reason: result.error.kind })
+    if (!result.value || agent.worker()) return
+    kept = result.value.value
+    agent.announced(JSON.parse(kept) as runs.Worker, undefined)
+  }
+  recall()
+
+  return {
+    runs: agent,
+    announced: (worker, clockMs) => {
+      agent.announced(worker, clockMs)
+      keep()
+    },
+    withdrawn: (worker) => {
+      agent.withdrawn(worker)
+      keep()
+    },
+    drain: () => new Promise((resolve) => agent.drain(resolve)),
+    stop: () => {
+      stopped = true
+      agent.stop()
+      follower.stop()
+      peers.stop()
+      pauses.stop()
+      links.stop()
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/entry.ts
@@ -0,0 +1,206 @@
+import * as attended from '@mustarddeck/attended'
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import * as runAgent from '@mustarddeck/run-agent'
+import type * as runs from '@mustarddeck/runs'
+import * as sessions from '@mustarddeck/sessions'
+import type * as deployments from './deployment.ts'
+import * as follow from './follow.ts'
+import type * as messages from './messages.ts'
+import * as discovery from './peers.ts'
+import type * as stores from './store.ts'
+
+/** Time in ms between reports of an entry's state to other processes. */
+const STATUS_MS = 300
+/** Time in ms that a cancellation waits for the other entries. */
+const CANCEL_TIMEOUT_MS = 400
+/** Longest gap in ms that is no pause; below the time for which peers trust each other. */
+const PAUSE_LIMIT_MS = 300
+/** Time in ms before the write of the entry's own row is tried again. */
+const ANNOUNCE_RETRY_MS = 300
+/** Margin in ms for a stop that an agent orders when it loses its entry. */
+const STOP_MARGIN_MS = 60
+
+export interface Options {
+  name: string
+  life: string
+  zone: string
+  host: string
+  port: number
+  seeds: string[]
+  store: stores.Store
+  timers: clock.Timers
+  log: log.Log
+}
+
+/** An entry: takes jobs of callers and places them on the workers of linked agents. */
+export interface Entry {
+  jobs: attended.Dispatcher
+  deployment (): deployments.Deployment | undefined
+  /** True if the configuration is known to be the newest. */
+  isCurrent (): boolean
+  /** True if the entry can serve callers. */
+  isReady (): boolean
+  /** Cancels a job on whichever entry has it; false if none knows it. */
+  cancel (key: runs.JobKey): Promise<boolean>
+  /** Jobs of the queue that wait on any entry. */
+  waiting (queue: attended.QueueName): number
+  /** Takes no job any more that cannot end within `remainingMs`. */
+  drain (remainingMs: number): void
+  start (): Promise<void>
+  stop (): void
+}
+
+interface Cancellation {
+  open: number
+  finish (known: boolean): void
+}
+
+export const create = ({ name, life, zone, host, port, seeds, store, timers, log }: Options): Entry => {
+  const address = `${host}:${port}`
+  const usable = new Map<number, boolean>()
+  const statuses = new Map<number, Record<string, number>>()
+  const cancellations = new Map<number, Cancellation>()
+  let nextRequest = 1
+  let draining = false
+  let stopped = false
+
+  const jobs = attended.create({
+    timers,
+    log,
+    zone,
+    lapseAfterMs: runAgent.LAPSE_AFTER_MS + STOP_MARGIN_MS,
+    send: (link, message) => links.send(link, message)
+  })
+  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
+    log.warn('pause', { gapMs })
+    links.closeAll('process stood still')
+  })
+
+  const receive = (session: sessions.Session, message: messages.Message): void => {
+    switch (message.kind) {
+      case 'room':
+        usable.set(session.id, message.worker !== undefined)
+        return jobs.receive(session.id, message)
+      case 'started':
+      case 'ended':
+        return jobs.receive(session.id, message)
+      case 'deployment':
+        follower.offer(message.deployment)
+        return
+      case 'entries':
+        return peers.learn(message.addresses)
+      case 'status':
+        statuses.set(session.id, message.waiting)
+        return
+      case 'cancel':
+        return links.send(session.id, {
+          kind: 'cancel-reply', request: message.request, known: jobs.cancel(message.key)
+        })
+      case 'cancel-reply':
+        return onCancelReply(message.request, message.known)
+      case 'start':
+      case 'stop':
+        log.warn('message-unexpected', { kind: message.kind, peer: session.peer.name })
+    }
+  }
+  const onCancelReply = (request: number, known: boolean): void => {
+    const cancellation = cancellations.get(request)
+    if (!cancellation) return
+    cancellation.open--
+    if (known || cancellation.open === 0) cancellation.finish(known)
+  }
+
+  const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
+    hello: { role: 'entry', name, life, address },
+    timers,
+    log,
+    beforeInput: () => pauses.check(),
+    handler: {
+      up: (session) => {
+        peers.up(session)
+        const deployment = follower.current()
+        if (deployment) links.send(session.id, { kind: 'deployment', deployment })
+        if (session.peer.role === 'agent') jobs.agentUp(session.id, session.peer.name, session.peer.life)
+      },
+      message: receive,
+      down: (session, trustedUntil) => {
+        peers.down(session)
+        usable.delete(session.id)
+        statuses.delete(session.id)
+        if (session.peer.role === 'agent') jobs.agentDown(session.id, trustedUntil)
+      }
+    }
+  })
+  const follower = follow.create({
+    store,
+    timers,
+    log,
+    isNeeded: () => true,
+    onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
+  })
+  const peers = discovery.create({ links, store, timers, log, seeds, tidies: true })
+
+  const announce = async (): Promise<void> => {
+    const result = await store.write('entries', { key: name, value: address })
+    if (result.kind === 'ok' || stopped) return
+    log.warn('entry-unannounced', { reason: result.error.kind })
+    timers.after(ANNOUNCE_RETRY_MS, announce)
+  }
+  const otherEntries = (): sessions.Session[] =>
+    [...peers.links().values()].filter(({ peer }) => peer.role === 'entry')
+  const report = (): void => {
+    if (stopped) return
+    timers.after(STATUS_MS, report)
+    const waiting: Record<string, number> = {}
+    for (const { queue } of follower.current()?.routes ?? []) {
+      const count = jobs.waiting(queue.name)
+      if (count > 0) waiting[queue.name] = count
+    }
+    peers.broadcast({ kind: 'status', storeReachable: follower.isCurrent(), waiting })
+  }
+
+  return {
+    jobs,
+    deployment: () => follower.current(),
+    isCurrent: () => follower.isCurrent(),
+    isReady: () => !draining && follower.current() !== undefined && [...usable.values()].includes(true),
+    cancel: (key) => {
+      if (jobs.cancel(key)) return Promise.resolve(true)
+      const others = otherEntries()
+      if (others.length === 0) return Promise.resolve(false)
+      return new Promise((resolve) => {
+        const request = nextRequest++
+        const finish = (known: boolean): void => {
+          cancellations.delete(request)
+          cancelTimer()
+          resolve(known)
+        }
+        const cancelTimer = timers.after(CANCEL_TIMEOUT_MS, () => finish(false))
+        cancellations.set(request, { open: others.length, finish })
+        for (const { id } of others) links.send(id, { kind: 'cancel', request, key })
+      })
+    },
+    waiting: (queue) => {
+      let count = jobs.waiting(queue)
+      for (const waiting of statuses.values()) count += waiting[queue] ?? 0
+      return count
+    },
+    drain: (remainingMs) => {
+      draining = true
+      jobs.drain(remainingMs)
+    },
+    start: async () => {
+      await links.listen(host, port)
+      announce()
+      timers.after(STATUS_MS, report)
+    },
+    stop: () => {
+      stopped = true
+      follower.stop()
+      peers.stop()
+      pauses.stop()
+      links.stop()
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/peers.ts
@@ -0,0 +1,106 @@
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import type * as sessions from '@mustarddeck/sessions'
+import * as follow from './follow.ts'
+import type * as messages from './messages.ts'
+import type * as stores from './store.ts'
+
+/** Time in ms between reads of the list of entries while none is linked, and while some are. */
+const LONELY_MS = 500
+const SETTLED_MS = 15_000
+/** Time in ms without a link after which the row of an entry is removed from the store. */
+const FORGET_AFTER_MS = 60_000
+
+/** Finds entries: by the store, by what peers tell, and by the addresses in the settings. */
+export interface Peers {
+  /** Takes note of addresses that a peer has told. */
+  learn (addresses: string[]): void
+  up (session: sessions.Session): void
+  down (session: sessions.Session): void
+  /** Links that are up, by id. */
+  links (): Map<number, sessions.Session>
+  broadcast (message: messages.Message): void
+  stop (): void
+}
+
+export interface Options {
+  links: sessions.Sessions<messages.Message>
+  store: stores.Store
+  timers: clock.Timers
+  log: log.Log
+  /** Addresses to try first. */
+  seeds: string[]
+  /** True for a process that removes rows of entries that are gone. */
+  tidies: boolean
+}
+
+interface Entry {
+  linked: number
+  /** Monotonic ms at which it was known or linked last. */
+  seenAt: number
+}
+
+export const create = ({ links, store, timers, log, seeds, tidies }: Options): Peers => {
+  const entries = new Map<string, Entry>()
+  const up = new Map<number, sessions.Session>()
+  let stopped = false
+
+  const broadcast = (message: messages.Message): void => {
+    for (const id of up.keys()) links.send(id, message)
+  }
+  const learn = (addresses: string[]): void => {
+    const before = entries.size
+    for (const address of addresses) {
+      if (entries.has(address)) continue
+      entries.set(address, { linked: 0, seenAt: timers.monotonic() })
+      links.dial(address)
+    }
+    if (entries.size > before) broadcast({ kind: 'entries', addresses: [...entries.keys()] })
+  }
+  const hasLink = (): boolean => [...entries.values()].some(({ linked }) => linked > 0)
+
+  const tidy = (rows: stores.Row[]): void => {
+    const now = timers.monotonic()
+    for (const { key, value } of rows) {
+      const entry = entries.get(value)
+      if (!entry || entry.linked > 0 || now - entry.seenAt < FORGET_AFTER_MS) continue
+      log.info('entry-forgotten', { entry: key, address: value })
+      entries.delete(value)
+      links.forget(value)
+      store.remove('entries', key)
+    }
+  }
+  const read = async (): Promise<void> => {
+    const result = await follow.hedged(() => store.rows('entries'), timers)
+    if (stopped) return
+    if (result.kind === 'ok') {
+      learn(result.value.map(({ value }) => value))
+      if (tidies) tidy(result.value)
+    } else log.debug('entries-unread', { reason: result.error.kind })
+    timers.after(hasLink() ? SETTLED_MS : LONELY_MS, read)
+  }
+  learn(seeds)
+  read()
+
+  const linked = (session: sessions.Session, by: number): void => {
+    const entry = entries.get(session.peer.address)
+    if (!entry) return
+    entry.linked += by
+    entry.seenAt = timers.monotonic()
+  }
+  return {
+    learn,
+    up: (session) => {
+      up.set(session.id, session)
+      if (session.peer.address !== '') learn([session.peer.address])
+      linked(session, 1)
+      links.send(session.id, { kind: 'entries', addresses: [...entries.keys()] })
+    },
+    down: (session) => {
+      if (up.delete(session.id)) linked(session, -1)
+    },
+    links: () => up,
+    broadcast,
+    stop: () => { stopped = true }
+  }
+}
--- /dev/null
+++ b/packages/runs/src/index.ts
@@ -0,0 +1,3 @@
+export * from './amount.ts'
+export * from './interface.ts'
+export * from './messages.ts'
--- /dev/null
+++ b/packages/sessions/src/index.ts
@@ -0,0 +1,2 @@
+export * from './pause.ts'
+export * from './sessions.ts'
