--- /dev/null
+++ b/packages/attended/src/dispatcher.test.ts
@@ -0,0 +1,183 @@
+import * as clock from '@mustarddeck/clock'
+import * as logging from '@mustarddeck/log'
+import * as runAgent from '@mustarddeck/run-agent'
+import type * as runs from '@mustarddeck/runs'
+import * as standIn from '@mustarddeck/worker-stand-in'
+import { expect } from 'chai'
+import * as attended from './index.ts'
+
+/** One way on a link, in ms. */
+const LINK_MS = 1
+const ONE = { millicores: 1600, memoryMb: 64, accelerators: 0 }
+const QUEUE: attended.Queue = {
+  name: 'settle' as attended.QueueName, service: 'corkbook', priority: 0, maxAttempts: 3, stretch: 1.6, objectiveMs: 60
+}
+
+const setUp = async ({ workers = 2, slots = 3, runMs = 200 } = {}) => {
+  const timers = clock.createVirtual({ start: new Date(1_000_000) })
+  const site = standIn.createSite()
+  const log = logging.create({ level: 'error' })
+  const pass = (ms: number): Promise<void> => standIn.advance(timers, ms)
+  const cut = new Set<number>()
+
+  const fleet = Array.from({ length: workers }, (_, index) => {
+    const link = index + 1
+    const worker = standIn.create({
+      id: `i-${link}`,
+      capacity: { millicores: ONE.millicores * slots, memoryMb: 10_000, accelerators: 0 },
+      amountOf: () => ONE,
+      runMsOf: () => runMs,
+      site,
+      timers
+    })
+    const toEntry = (message: runs.FromAgent): void => {
+      timers.after(LINK_MS, () => { if (!cut.has(link)) entry.receive(link, message) })
+    }
+    const agent = runAgent.create({ calls: worker.calls, timers, log, send: (_link, message) => toEntry(message) })
+    return { agent, link, worker }
+  })
+  const entry = attended.create({
+    timers,
+    log,
+    zone: 'khangai-a',
+    lapseAfterMs: runAgent.LAPSE_AFTER_MS,
+    send: (link, message) => {
+      timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
+    }
+  })
+  const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
+    entry.agentUp(link, worker.worker().id, 'life')
+    agent.linkUp(0, 'entry-1')
+    agent.announced(worker.worker(), undefined)
+  }
+  fleet.forEach(linkUp)
+  await pass(50)
+
+  let nextKey = 1
+  const submit = ({ tasks = 1, patienceMs = 5000, queue = QUEUE, label = undefined as string | undefined } = {}) => {
+    const key = (nextKey++).toString(16).padStart(16, '0') as runs.JobKey
+    const job: attended.Job = {
+      key,
+      queue,
+      spec: 'pay',
+      patienceMs,
+      steps: [{
+        after: [],
+        maxPerWorker: Infinity,
+        tasks: Array.from({ length: tasks }, (_, index) => ({
+          id: `${key}.0.0.${index}` as runs.TaskId, amount: ONE, estimateMs: runMs, label, rack: undefined
+        }))
+      }]
+    }
+    const result = { key, answer: undefined as attended.Outcome | undefined, at: 0, job }
+    const answer: attended.Answer = (outcome) => Object.assign(result, { answer: outcome, at: timers.monotonic() })
+    entry.submit(job, answer)
+    return { ...result, result, abandon: () => entry.abandon(key, answer) }
+  }
+  return { cut, entry, fleet, pass, site, submit, timers }
+}
+
+describe('dispatcher of waiting jobs', () => {
+  it('answers when all tasks of a job have ended', async () => {
+    const { pass, site, submit } = await setUp()
+    const { result } = submit({ tasks: 5 })
+    await pass(250)
+    expect(result.answer).to.deep.equal({ kind: 'completed' })
+    expect([...site.starts.values()]).to.deep.equal([1, 1, 1, 1, 1])
+  })
+
+  it('refuses what cannot start in time, and has started nothing of it', async () => {
+    const { pass, site, submit } = await setUp({ runMs: 1000 })
+    submit({ tasks: 6 })
+    const { result } = submit()
+    await pass(1200)
+    expect(result.answer).to.deep.include({ kind: 'not-run', reason: 'overload' })
+    expect(result.answer).to.have.property('retryAfterMs').that.is.above(0)
+    expect(site.starts.has(`${result.key}.0.0.0` as runs.TaskId)).to.equal(false)
+  })
+
+  it('refuses at once what no worker could ever run', async () => {
+    const { submit } = await setUp()
+    expect(submit({ label: 'gpu' }).result.answer).to.deep.include({ kind: 'not-run', reason: 'never-runnable' })
+  })
+
+  it('fails a job when a task has failed as often as its queue allows, and stops the rest', async () => {
+    const { fleet, pass, submit } = await setUp()
+    for (const { worker } of fleet) worker.faults.tasks = 'fail'
+    const { result } = submit()
+    await pass(150)
+    expect(result.answer).to.deep.include({ kind: 'failed' })
+  })
+
+  it('starts a task elsewhere when a worker fails it', async () => {
+    const { fleet, pass, submit } = await setUp()
+    fleet[0]!.worker.faults.tasks = 'fail'
+    const results = Array.from({ length: 3 }, () => submit({ tasks: 2 }).result)
+    await pass(700)
+    expect(results.map(({ answer }) => answer?.kind)).to.deep.equal(['completed', 'completed', 'completed'])
+  })
+
+  it('starts a task that stands still elsewhere, after it was stopped', async () => {
+    const { fleet, pass, site, submit } = await setUp()
+    for (let count = 0; count < 40; count++) {
+      submit()
+      await pass(250)
+    }
+    for (const { worker } of fleet.slice(0, 1)) worker.faults.tasks = 'hang'
+    const results = Array.from({ length: 4 }, () => submit().result)
+    await pass(2000)
+    expect(results.map(({ answer }) => answer?.kind)).to.deep.equal(Array(4).fill('completed'))
+    expect(site.broken).to.deep.equal([])
+  })
+
+  it('starts the tasks of a lost agent elsewhere only when they have surely ended', async () => {
+    const { cut, entry, fleet, pass, site, submit, timers } = await setUp({ runMs: 1500 })
+    const { result } = submit({ tasks: 2, queue: { ...QUEUE, stretch: 5 } })
+    await pass(100)
+    const lost = fleet.find(({ worker }) => worker.running().length > 0)!
+    cut.add(lost.link)
+    await pass(450)
+    const trustedUntil = timers.monotonic()
+    entry.agentDown(lost.link, trustedUntil)
+    lost.agent.stop()
+    await pass(2800)
+    expect(result.answer).to.deep.equal({ kind: 'completed' })
+    expect(site.broken).to.deep.equal([])
+  })
+
+  it('stops a job whose caller has left', async () => {
+    const { fleet, pass, submit } = await setUp({ runMs: 3000 })
+    const { abandon } = submit({ tasks: 4 })
+    await pass(50)
+    abandon()
+    await pass(100)
+    expect(fleet.flatMap(({ worker }) => worker.running())).to.deep.equal([])
+  })
+
+  // The run of the first attempt may still be on its worker when the caller sends the job again.
+  it('never runs a task twice at a time when its job comes again', async () => {
+    const { entry, pass, site, submit } = await setUp({ runMs: 500 })
+    const first = submit({ tasks: 3 })
+    await pass(50)
+    first.abandon()
+    let again: attended.Outcome | undefined
+    entry.submit(first.job, (outcome) => { again = outcome })
+    await pass(1200)
+    expect(again).to.deep.equal({ kind: 'completed' })
+    expect(site.broken).to.deep.equal([])
+  })
+
+  it('answers a caller before its patience ends, with an unknown outcome if something has started', async () => {
+    const { pass, submit } = await setUp({ runMs: 3000 })
+    const { result } = submit({ patienceMs: 1000 })
+    await pass(1000)
+    expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
+    expect(result.at).to.be.below(1050)
+  })
+
+  it('refuses what cannot end before the entry leaves', async () => {
+    const { entry, submit } = await setUp({ runMs: 2000 })
+    entry.drain(500)
+    expect(submit().result.answer).to.deep.include({ kind: 'not-run', reason: 'draining' })
+  })
+})
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -227,7 +227,8 @@
   const list = async (): Promise<void> => {
     const askedAt = timers.monotonic()
     const tokenUsed = token.current()
-    const leaseUntilMs = lease.next()
+    // An extension that a silent worker may still receive would keep its runs in doubt for longer.
+    const leaseUntilMs = askedAt - listedAt < QUIET_AFTER_MS ? lease.next() : undefined
     if (leaseUntilMs !== undefined) lease.asked(leaseUntilMs)
     // The first listing of a life must not wait: it tells the worker's clock.
     const waitMs = leaseUntilMs === undefined || books.hasForeign() ? 0 : LIST_WAIT_MS
