--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -7,10 +7,12 @@
 const HEARTBEAT_MS = 150
 /** Time in ms without a fresh echo after which a process no longer trusts its peer. */
 export const TRUST_MS = 450
-/** Time in ms for a connection to be set up. */
-const CONNECT_TIMEOUT_MS = 600
-/** Pause in ms between attempts to reach a peer: the first, and the longest after repeated failures. */
-const RETRY_MS = 100
+/** Time in ms for a connection to be set up; a packet to a machine without power is answered by nobody. */
+const CONNECT_TIMEOUT_MS = 250
+/** Pause in ms between attempts to reach a peer that was lost just now, as after a restart of everything. */
+const RETRY_MS = 50
+/** Attempts at that pace; later ones are `MAX_RETRY_MS` apart. */
+const PROMPT_RETRIES = 100
 const MAX_RETRY_MS = 1000
 /** Bytes that wait for a peer that does not read, at which the link is closed. */
 const MAX_BUFFERED_BYTES = 4 * 2 ** 20
@@ -153,7 +155,7 @@
   }
   const retry = (dial: Dial): void => {
     if (stopped) return
-    const delayMs = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** Math.min(dial.failures, 10))
+    const delayMs = dial.failures < PROMPT_RETRIES ? RETRY_MS : MAX_RETRY_MS
     dial.failures++
     dial.cancel()
     dial.cancel = timers.after(delayMs, () => connect(dial))
