Refuse at once a job that would make waiting ones late

Change: a job is admitted only if it and all that wait can still start in time with this entry's share of the workers.

--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as log from '@mustarddeck/log'
 import * as runs from '@mustarddeck/runs'
+import * as admission from './admission.ts'
 import * as fleet from './agents.ts'
 import * as choice from './choice.ts'
 import * as learning from './estimates.ts'
@@ -24,13 +25,15 @@
   zone: string
   /** Longest time in ms that a run may go on after its agent has ceased to act for this entry. */
   lapseAfterMs: number
+  /** Number of entries that share the workers, this one included. */
+  entries (): number
   send (link: number, message: runs.ToAgent): void
 }
 
 /** Orders for one agent that leave in one message. */
 type Batch = Map<fleet.Agent, jobs.TaskState[]>
 
-export const create = ({ timers, log, zone, lapseAfterMs, send }: Options): attended.Dispatcher => {
+export const create = ({ timers, log, zone, lapseAfterMs, entries, send }: Options): attended.Dispatcher => {
   const agents = fleet.create()
   const estimates = learning.create()
   const byKey = new Map<runs.JobKey, jobs.JobState>()
@@ -213,6 +216,14 @@
   }
   timers.after(REVIEW_MS, review)
 
+  const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
+    task.phase === 'waiting' || task.phase === 'blocked' ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
+  /** Part of the service's workers that is this entry's when all entries are under load. */
+  const ownShare = (service: string): number => {
+    let total = 0
+    for (const { worker } of agents.all()) if (worker?.service === service) total += worker.capacity.millicores
+    return total / entries()
+  }
   const canEverRun = (job: attended.Job): boolean => {
     const workers = [...agents.all()].flatMap(({ worker }) => worker?.service === job.queue.service ? [worker] : [])
     if (workers.length === 0) return true
@@ -233,6 +244,9 @@
     if (!canEverRun(job)) return refuse(state, 'never-runnable')
     const chainMs = (state.latestStart - now - job.queue.objectiveMs) / Math.max(0.1, job.queue.stretch - 1)
     if (drainsBy !== undefined && now + chainMs > drainsBy) return refuse(state, 'draining')
+    if (!admission.isFeasible(state, { waiting, workOf, millicores: ownShare(job.queue.service) }, now)) {
+      return refuse(state, 'overload')
+    }
     waiting.add(state)
     place()
   }
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -70,6 +70,7 @@
     log,
     zone,
     lapseAfterMs: runAgent.LAPSE_AFTER_MS + STOP_MARGIN_MS,
+    entries: () => 1 + otherEntries().length,
     send: (link, message) => links.send(link, message)
   })
   const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
@@ -148,7 +149,9 @@
     timers.after(ANNOUNCE_RETRY_MS, announce)
   }
   const otherEntries = (): sessions.Session[] =>
-    [...peers.links().values()].filter(({ peer }) => peer.role === 'entry')
+    // Two entries that dial each other have two links.
+    [...new Map([...peers.links().values()].map((session) => [session.peer.life, session])).values()]
+      .filter(({ peer }) => peer.role === 'entry')
   const report = (): void => {
     if (stopped) return
     timers.after(STATUS_MS, report)
