--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -63,9 +63,9 @@
     await pass(5)
     worker.faults.lateMs = 0
     order(3)
-    await pass(100)
+    await pass(60)
     expect(ends()).to.deep.equal([[task(3), 'unstarted', 'no-room']])
-    await pass(800)
+    await pass(840)
     expect(ends().slice(1).map(([, end]) => end)).to.deep.equal(['unstarted', 'unstarted', 'unstarted'])
     order(4, 5, 6)
     await pass(1000)
@@ -73,6 +73,16 @@
     expect(worker.running()).to.have.members([task(4), task(5), task(6)])
   })
 
+  it('settles an unanswered order well before callers notice', async () => {
+    const { ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    worker.faults.lateMs = 3000
+    order(0)
+    await pass(5)
+    worker.faults.lateMs = 0
+    await pass(100)
+    expect(ends().map(([, end]) => end)).to.deep.equal(['unstarted'])
+  })
+
   it('stops the runs of an entry that it has lost', async () => {
     const { agent, order, pass, worker } = await setUp({ runMs: 5000 })
     order(0, 1)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -4,8 +4,8 @@
 import * as accounts from './books.ts'
 import * as leases from './lease.ts'
 
-/** Time in ms after which an order or a stop without an answer counts as doubtful. */
-const CALL_TIMEOUT_MS = 150
+/** Time in ms after which an order or a stop without an answer counts as doubtful; a call takes a few ms. */
+const CALL_TIMEOUT_MS = 80
 /** Time in ms that a listing may wait for an end; a few of them fit into one lease. */
 const LIST_WAIT_MS = 150
 /** Time in ms beyond `LIST_WAIT_MS` after which a listing without an answer is overdue. */
@@ -126,8 +126,11 @@
     const reply = await calls.stop(worker?.id, run, token.current(), CALL_TIMEOUT_MS)
     run.stopCall = false
     // Listings that were asked for from now on tell whether the run is there.
-    if (reply.kind === 'acknowledged') run.stopConfirmedAt = timers.monotonic()
-    else log.warn('stop-unanswered', { task: run.task, run: run.run, reply: reply.kind })
+    if (reply.kind === 'acknowledged') {
+      run.stopConfirmedAt = timers.monotonic()
+      // The listing that waits for an end was asked for before, and settles nothing for this run.
+      if (run.state === 'doubtful') list(0)
+    } else log.warn('stop-unanswered', { task: run.task, run: run.run, reply: reply.kind })
   }
 
   const onStartReply = (run: accounts.Run, reply: runs.StartReply): void => {
@@ -199,7 +202,7 @@
     for (const run of [...books.all()]) {
       if (present.get(run.task) === run.run) continue
       if (run.state === 'running' && run.orderedAt < askedAt - CALL_TIMEOUT_MS) finish(run, 'lapsed', 'not listed')
-      if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt < askedAt) finish(run, 'unstarted', 'stopped early')
+      if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) finish(run, 'unstarted', 'stopped early')
     }
     for (const { task, run } of running) if (books.get(task)?.run !== run) adopt(task, run)
     if (wasQuiet) roomChanged()
@@ -224,14 +227,14 @@
     roomChanged()
   }
 
-  const list = async (): Promise<void> => {
+  const list = async (longestWaitMs: number): Promise<void> => {
     const askedAt = timers.monotonic()
     const tokenUsed = token.current()
     // An extension that a silent worker may still receive would keep its runs in doubt for longer.
     const leaseUntilMs = askedAt - listedAt < QUIET_AFTER_MS ? lease.next() : undefined
     if (leaseUntilMs !== undefined) lease.asked(leaseUntilMs)
     // The first listing of a life must not wait: it tells the worker's clock.
-    const waitMs = leaseUntilMs === undefined || books.hasForeign() ? 0 : LIST_WAIT_MS
+    const waitMs = leaseUntilMs === undefined || books.hasForeign() ? 0 : longestWaitMs
     const timeoutMs = LIST_WAIT_MS + LIST_GRACE_MS
     const reply = await calls.list(worker?.id, { token: tokenUsed, lastSeen, leaseUntilMs, waitMs, timeoutMs })
     if (stopped) return
@@ -243,7 +246,7 @@
     await new Promise<void>((resolve) => timers.after(LIST_PAUSE_MS, resolve))
   }
   const listAgain = async (): Promise<void> => {
-    await list()
+    await list(LIST_WAIT_MS)
     if (!stopped) listAgain()
   }
 
