--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -1,14 +1,41 @@
+import * as fs from 'node:fs'
+import * as nodeModule from 'node:module'
 import * as path from 'node:path'
 import * as url from 'node:url'
+import * as vm from 'node:vm'
 import * as esbuild from 'esbuild'
 import * as bundling from './bundle.ts'
 
-// Builds target/mustarddeck.cjs: the processes that run on the users' platform, in one file.
+// Builds target/mustarddeck.cjs, which starts the processes on the users' platform, from one bundle. The bundle comes
+// with its compiled form, since a process that starts again after a failure is waited for.
 
 const root = url.fileURLToPath(new URL('..', import.meta.url))
+const target = path.join(root, 'target')
+const bundle = path.join(target, 'bundle.cjs')
+const cache = path.join(target, 'bundle.cache')
+
+/** Runs the bundle as a CommonJS module; a compiled form of another version of Node is ignored by it. */
+const LOADER = `'use strict'
+const fs = require('node:fs')
+const path = require('node:path')
+const vm = require('node:vm')
+const file = path.join(__dirname, 'bundle.cjs')
+const cachedData = fs.readFileSync(path.join(__dirname, 'bundle.cache'))
+const script = new vm.Script(fs.readFileSync(file, 'utf8'), { filename: file, cachedData })
+script.runInThisContext()(require, module, exports, file, __dirname)
+module.exports.main(process.argv[2])
+`
 
 await esbuild.build({
   entryPoints: [path.join(root, 'platform/src/main.ts')],
-  outfile: path.join(root, 'target/mustarddeck.cjs'),
+  outfile: bundle,
   ...bundling.options
 })
+const source = `(function (require, module, exports, __filename, __dirname) {${fs.readFileSync(bundle, 'utf8')}\n})`
+fs.writeFileSync(bundle, source)
+const script = new vm.Script(source, { filename: bundle })
+// The compiled form holds the functions that ran: those that load the modules.
+const loaded = { exports: {} }
+script.runInThisContext()(nodeModule.createRequire(bundle), loaded, loaded.exports, bundle, target)
+fs.writeFileSync(cache, script.createCachedData())
+fs.writeFileSync(path.join(target, 'mustarddeck.cjs'), LOADER)
