--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -200,7 +200,7 @@
     end(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
   const review = (): void => {
-    timers.after(REVIEW_MS, review)
+    cancelReview = timers.after(REVIEW_MS, review)
     const now = timers.monotonic()
     for (const job of [...byKey.values()]) giveUp(job, now)
     for (const task of [...unsettled.values()]) {
@@ -217,7 +217,7 @@
     }
     place()
   }
-  timers.after(REVIEW_MS, review)
+  let cancelReview = timers.after(REVIEW_MS, review)
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
     task.phase === 'waiting' || task.phase === 'blocked' ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
@@ -305,7 +305,8 @@
       if (task.phase === 'ordered') task.phase = 'running'
     },
     drain: (remainingMs) => { drainsBy = timers.monotonic() + remainingMs },
-    counts: () => ({ jobs: accepted, running: byKey.size, outcomes: { ...outcomes } })
+    counts: () => ({ jobs: accepted, running: byKey.size, outcomes: { ...outcomes } }),
+    stop: () => cancelReview()
   }
 
   /** An agent that has started again has seen its worker without runs before it says that there is room. */
--- a/packages/attended/src/interface.ts
+++ b/packages/attended/src/interface.ts
@@ -84,4 +84,6 @@
   /** From now on new jobs are refused unless they can end within `remainingMs`. */
   drain (remainingMs: number): void
   counts (): Counts
+  /** Ends the reviews of waiting and lost tasks; no answer follows. */
+  stop (): void
 }
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -200,6 +200,7 @@
     },
     stop: () => {
       stopped = true
+      jobs.stop()
       follower.stop()
       peers.stop()
       pauses.stop()
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -44,6 +44,7 @@
   const entries = new Map<string, Entry>()
   const up = new Map<number, sessions.Session>()
   let stopped = false
+  let cancelRead: clock.Cancellation = () => {}
 
   const broadcast = (message: messages.Message): void => {
     for (const id of up.keys()) links.send(id, message)
@@ -77,7 +78,7 @@
       learn(result.value.map(({ value }) => value))
       if (tidies) tidy(result.value)
     } else log.debug('entries-unread', { reason: result.error.kind })
-    timers.after(hasLink() ? SETTLED_MS : LONELY_MS, read)
+    cancelRead = timers.after(hasLink() ? SETTLED_MS : LONELY_MS, read)
   }
   learn(seeds)
   read()
@@ -101,6 +102,9 @@
     },
     links: () => up,
     broadcast,
-    stop: () => { stopped = true }
+    stop: () => {
+      stopped = true
+      cancelRead()
+    }
   }
 }
--- a/packages/worker-stand-in/src/worker.ts
+++ b/packages/worker-stand-in/src/worker.ts
@@ -5,6 +5,8 @@
 /** Time in ms of a call to the worker and back, and of a stop. */
 const CALL_MS = 1
 const STOP_MS = 30
+/** Time in ms between checks for leases that have expired. */
+const EXPIRY_CHECK_MS = 10
 /** Longest lease in ms. */
 const MAX_LEASE_MS = 1000
 
@@ -44,6 +46,8 @@
   running (): runs.TaskId[]
   /** Ends everything that runs and begins a new life under the same id. */
   restart (): void
+  /** Ends the worker for good; what runs then is not told any more. */
+  stop (): void
 }
 
 export const create = ({ id, capacity, amountOf, runMsOf, site, timers }: Settings): StandIn => {
@@ -71,10 +75,10 @@
     wake()
   }
   const expire = (): void => {
-    timers.after(10, expire)
+    cancelExpiry = timers.after(EXPIRY_CHECK_MS, expire)
     if (clockMs() > leaseUntilMs) for (const run of [...running.values()]) finish(run, 'lapsed')
   }
-  timers.after(10, expire)
+  let cancelExpiry = timers.after(EXPIRY_CHECK_MS, expire)
   const extend = (untilMs: number | undefined): void => {
     if (untilMs !== undefined) leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs() + MAX_LEASE_MS))
   }
@@ -187,6 +191,10 @@
       startedAt = timers.monotonic()
       bornMs = timers.now().getTime() + 1
       waiters = []
+    },
+    stop: () => {
+      cancelExpiry()
+      for (const { cancel } of running.values()) cancel()
     }
   }
 }
