Allow for a late timer in the end of a peer's trust

Cause: the new test of links saw a peer act 1 ms after the moment at which the other side took its trust for ended, since timers fire late.

Change: 25 ms more before the runs of a lost agent count as ended. Tests of links that fall silent one way, and of the watch for pauses.

--- /dev/null
+++ b/packages/sessions/src/sessions.test.ts
@@ -0,0 +1,144 @@
+import * as clock from '@mustarddeck/clock'
+import * as logging from '@mustarddeck/log'
+import { expect } from 'chai'
+import * as net from 'node:net'
+import * as sessions from './index.ts'
+
+const HOST = '127.0.0.1'
+const timers = clock.createSystem({ keepAlive: false })
+const log = logging.create({ level: 'error' })
+
+interface Peer {
+  links: sessions.Sessions<unknown>
+  up: sessions.Session[]
+  received: unknown[]
+  /** Monotonic ms at which each link ended, and until which its peer may have trusted it. */
+  down: Array<{ at: number, trustedUntil: number }>
+}
+
+const createPeer = (name: string): Peer => {
+  const peer: Omit<Peer, 'links'> = { up: [], received: [], down: [] }
+  const links = sessions.create<unknown>({
+    hello: { role: name, name, life: `${name}-life`, address: '' },
+    timers,
+    log,
+    beforeInput: () => {},
+    handler: {
+      up: (session) => peer.up.push(session),
+      message: (_session, message) => peer.received.push(message),
+      down: (_session, trustedUntil) => peer.down.push({ at: timers.monotonic(), trustedUntil })
+    }
+  })
+  return { ...peer, links }
+}
+
+const freePort = (): Promise<number> => new Promise((resolve) => {
+  const server = net.createServer().listen(0, HOST, () => {
+    const { port } = server.address() as net.AddressInfo
+    server.close(() => resolve(port))
+  })
+})
+
+const until = async (condition: () => boolean): Promise<void> => {
+  const endsAt = Date.now() + 3000
+  while (!condition()) {
+    if (Date.now() > endsAt) throw new Error('the condition did not come about in 3 s')
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+/** Forwards to the port, and forwards nothing more in the directions that are cut. */
+const startProxy = async (port: number) => {
+  const cut = { toServer: false, toClient: false }
+  const sockets: net.Socket[] = []
+  const server = net.createServer((client) => {
+    const upstream = net.connect(port, HOST)
+    sockets.push(client, upstream)
+    upstream.on('close', () => { if (!cut.toClient) client.destroy() })
+    client.on('close', () => { if (!cut.toServer) upstream.destroy() })
+    client.on('data', (data) => { if (!cut.toServer) upstream.write(data) }).on('error', () => {})
+    upstream.on('data', (data) => { if (!cut.toClient) client.write(data) }).on('error', () => {})
+  })
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port: proxied } = server.address() as net.AddressInfo
+  const stop = (): void => {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  }
+  return { cut, address: `${HOST}:${proxied}`, stop }
+}
+
+describe('links that know how long a peer trusts them', () => {
+  let entry: Peer
+  let agent: Peer
+  let proxy: Awaited<ReturnType<typeof startProxy>>
+
+  beforeEach(async () => {
+    const port = await freePort()
+    entry = createPeer('entry')
+    agent = createPeer('agent')
+    await entry.links.listen(HOST, port)
+    proxy = await startProxy(port)
+    agent.links.dial(proxy.address)
+    await until(() => entry.up.length === 1 && agent.up.length === 1)
+  })
+  afterEach(() => {
+    agent.links.stop()
+    entry.links.stop()
+    proxy.stop()
+  })
+
+  it('carries messages in order', async () => {
+    for (const message of ['a', { b: 1 }, ['c']]) agent.links.send(agent.up[0]!.id, message)
+    await until(() => entry.received.length === 3)
+    expect(entry.received).to.deep.equal(['a', { b: 1 }, ['c']])
+  })
+
+  it('stays up while nothing is sent', async () => {
+    await new Promise((resolve) => setTimeout(resolve, 2 * sessions.TRUST_MS))
+    expect([entry.down, agent.down]).to.deep.equal([[], []])
+  })
+
+  // No reset tells of such a link, and one direction may still work.
+  for (const direction of ['toServer', 'toClient'] as const) {
+    it(`ends on both sides when it falls silent ${direction === 'toServer' ? 'one way' : 'the other way'}`, async () => {
+      proxy.cut[direction] = true
+      await until(() => entry.down.length === 1 && agent.down.length === 1)
+      const [fromEntry, fromAgent] = [entry.down[0]!, agent.down[0]!]
+      expect(fromAgent.at, 'the agent acts for the entry').to.be.at.most(fromEntry.trustedUntil)
+      expect(fromEntry.at, 'the entry acts for the agent').to.be.at.most(fromAgent.trustedUntil)
+    })
+  }
+
+  it('is dialed again after it has ended', async () => {
+    entry.links.closeAll('test')
+    await until(() => agent.up.length === 2)
+    expect(agent.up[1]!.id).to.not.equal(agent.up[0]!.id)
+  })
+
+  it('closes a link on which a peer does not follow the protocol', async () => {
+    const stranger = net.connect(Number(proxy.address.split(':')[1]), HOST)
+    stranger.resume()
+    stranger.write('not a WebSocket\r\n\r\n')
+    await new Promise((resolve) => stranger.once('close', resolve))
+    expect(entry.up).to.have.length(1)
+  })
+})
+
+describe('watch for pauses', () => {
+  it('tells a gap of the steady clock or of the time of day before input is handled', () => {
+    const virtual = clock.createVirtual()
+    let offsetMs = 0
+    const stepping = { ...virtual, now: () => new Date(virtual.now().getTime() + offsetMs) }
+    const gaps: number[] = []
+    const watch = sessions.watch(stepping, 300, (gapMs) => gaps.push(gapMs))
+    virtual.advance(1000)
+    expect(gaps).to.deep.equal([])
+    offsetMs = 2000
+    watch.check()
+    offsetMs = 0
+    watch.check()
+    expect(gaps).to.deep.equal([2000])
+    watch.stop()
+  })
+})
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -7,6 +7,8 @@
 const HEARTBEAT_MS = 150
 /** Time in ms without a fresh echo after which a process no longer trusts its peer. */
 export const TRUST_MS = 450
+/** Time in ms by which a timer may fire late, and with it the end of a peer's trust. */
+const TIMER_MARGIN_MS = 25
 /** Time in ms for a connection to be set up; a packet to a machine without power is answered by nobody. */
 const CONNECT_TIMEOUT_MS = 250
 /** Pause in ms between attempts to reach a peer that was lost just now, as after a restart of everything. */
@@ -147,7 +149,7 @@
       const now = timers.monotonic()
       log.info('link-down', { link: link.id, peer: link.peer.name, reason, heardMsAgo: Math.round(now - link.heardAt) })
       // A peer that has closed the link itself trusts it no longer.
-      const trustedUntil = by === 'peer' ? now : link.heardAt + TRUST_MS
+      const trustedUntil = by === 'peer' ? now : link.heardAt + TRUST_MS + TIMER_MARGIN_MS
       handler.down({ id: link.id, peer: link.peer }, trustedUntil)
     }
     const dial = link.address === undefined ? undefined : dials.get(link.address)
