--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -107,7 +107,9 @@
       if (jobs.complete(job, task)) end(job, { kind: 'completed' })
       return
     }
-    log.info('task-again', { task: task.task.id, agent: agent.name, end: message.end, failures: task.failures })
+    if (!job.ended) {
+      log.info('task-again', { task: task.task.id, agent: agent.name, end: message.end, failures: task.failures })
+    }
     if (message.end === 'failed') onFailed(task, agent, message.ranMs)
   }
 
--- a/packages/fleet/src/deployment.ts
+++ b/packages/fleet/src/deployment.ts
@@ -7,6 +7,8 @@
   queue: attended.Queue
   /** Longest time in ms that a caller waits, where it does not say so itself. */
   patienceMs: number
+  /** Another service has to allow a worker for each step; jobs of such a route are not run. */
+  needsAdvice: boolean
 }
 
 export interface Limits {
