Do not say "not run" of a job whose order was lost with its agent

Cause: a task that was ordered at an agent before its link ended went back to waiting as if it had never been ordered; its job was then refused as not run, though the confirmation of its start may have been lost. Found by reading.

Change: a job with a lost task may have started. Its test failed before the change.

--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -169,6 +169,17 @@
     expect(site.broken).to.deep.equal([])
   })
 
+  // The confirmation of the start may have been lost with the link.
+  it('does not say of a job that it has not run when its order went to an agent that was lost', async () => {
+    const { cut, entry, fleet, pass, submit, timers } = await setUp({ workers: 1, runMs: 3000 })
+    const { result } = submit({ patienceMs: 2500 })
+    await pass(2)
+    cut.add(fleet[0]!.link)
+    entry.agentDown(fleet[0]!.link, timers.monotonic())
+    await pass(2500)
+    expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
+  })
+
   it('stops a job whose caller has left', async () => {
     const { fleet, pass, submit } = await setUp({ runMs: 3000 })
     const { abandon } = submit({ tasks: 4 })
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -260,6 +260,8 @@
   const lose = (task: jobs.TaskState, settledAt: number): void => {
     task.phase = 'lost'
     task.settledAt = settledAt
+    // What the agent has said of a start may have been lost with it.
+    task.job.mayHaveStarted = true
   }
   return {
     submit,
