Keep what the dispatcher derives once, and remove counters and reasons that nothing reads

The expected duration of a job was worked out again from its latest start; four places tested for an unordered task by hand. Counters without a reader and two reasons that no code gives are gone. The agent's log uses names of its own: run-order and bornMs.

--- a/packages/attended/src/agents.ts
+++ b/packages/attended/src/agents.ts
@@ -36,7 +36,7 @@
 
 export const create = (): Agents => {
   const byLink = new Map<number, Agent>()
-  const healthByName = new Map<string, { born: number, health: placement.health.WorkerHealth }>()
+  const healthByName = new Map<string, { bornMs: number, health: placement.health.WorkerHealth }>()
   const health = placement.health.create({ enabled: true })
 
   const refresh = (agent: Agent, told: runs.Amount): void => {
@@ -46,14 +46,14 @@
   /** A new life of a worker is judged anew. */
   const judge = (agent: Agent, { bornMs }: runs.Worker): void => {
     const known = healthByName.get(agent.name)
-    if (known?.born === bornMs) {
+    if (known?.bornMs === bornMs) {
       agent.health = known.health
       return
     }
     if (known) health.remove(known.health)
     agent.health = placement.health.createWorkerHealth()
     health.admit(agent.health)
-    healthByName.set(agent.name, { born: bornMs, health: agent.health })
+    healthByName.set(agent.name, { bornMs, health: agent.health })
   }
   return {
     health,
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -42,8 +42,6 @@
   /** Tasks that may be on a worker, also those of jobs that have ended. */
   const unsettled = new Map<runs.TaskId, jobs.TaskState>()
   const waiting = new Set<jobs.JobState>()
-  const outcomes: attended.Counts['outcomes'] = { completed: 0, failed: 0, cancelled: 0, 'not-run': 0, unknown: 0 }
-  let accepted = 0
   let latestLinkAt = timers.monotonic()
   let drainsBy: number | undefined
   let placing = false
@@ -56,7 +54,6 @@
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
     for (const task of state.tasks) stop(task)
-    outcomes[outcome.kind]++
     log.info('job-end', {
       job: state.job.key,
       queue: state.job.queue.name,
@@ -69,7 +66,7 @@
   }
 
   const stop = (task: jobs.TaskState): void => {
-    if (task.phase === 'waiting' || task.phase === 'blocked') task.phase = 'done'
+    if (jobs.isUnordered(task)) task.phase = 'done'
     if (task.phase !== 'ordered' && task.phase !== 'running') return
     task.phase = 'stopping'
     send(task.agent!.link, { kind: 'stop', tasks: [task.task.id] })
@@ -128,7 +125,7 @@
       runMs: estimates.scaled(task, ranMs),
       runTimes: estimates.runTimes(queue)
     }
-    agent.health.running = Math.max(0, agent.tasks.size)
+    agent.health.running = agent.tasks.size
     const event = agents.health.record(agent.health, result, timers.monotonic())
     if (event) log.warn(event, { agent: agent.name, queue })
   }
@@ -190,14 +187,12 @@
 
   const giveUp = (job: jobs.JobState, now: number): void => {
     if (now >= job.patienceEnds - ANSWER_MARGIN_MS) {
-      const pending = job.tasks.some(({ phase }) => phase !== 'waiting' && phase !== 'blocked')
-      if (!pending && !job.mayHaveStarted) return refuse(job, 'overload')
-      return end(job, { kind: 'unknown', reason: 'patience' })
+      return hasBegun(job) ? end(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
     }
     if (now > job.latestStart && !hasBegun(job)) refuse(job, 'overload')
   }
   const hasBegun = (job: jobs.JobState): boolean =>
-    job.mayHaveStarted || job.tasks.some(({ phase }) => phase !== 'waiting' && phase !== 'blocked')
+    job.mayHaveStarted || !job.tasks.every(jobs.isUnordered)
   const refuse = (job: jobs.JobState, reason: attended.NotRunReason): void =>
     end(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
@@ -222,7 +217,7 @@
   let cancelReview = timers.after(REVIEW_MS, review)
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
-    task.phase === 'waiting' || task.phase === 'blocked' ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
+    jobs.isUnordered(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
   /** Part of the service's workers that is this entry's when all entries are under load. */
   const ownShare = (service: string): number => {
     let total = 0
@@ -243,12 +238,10 @@
       return
     }
     const state = jobs.create(job, now, (task) => estimates.of(job.queue.name, task), answer)
-    accepted++
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.patienceMs })
     byKey.set(job.key, state)
     if (!canEverRun(job)) return refuse(state, 'never-runnable')
-    const chainMs = (state.latestStart - now - job.queue.objectiveMs) / Math.max(0.1, job.queue.stretch - 1)
-    if (drainsBy !== undefined && now + chainMs > drainsBy) return refuse(state, 'draining')
+    if (drainsBy !== undefined && now + state.chainMs > drainsBy) return refuse(state, 'draining')
     const backlog = { waiting, workOf, millicores: ownShare(job.queue.service) }
     if (now - latestLinkAt > SETTLING_MS && !admission.isFeasible(state, backlog, now)) {
       return refuse(state, 'overload')
@@ -309,7 +302,6 @@
       if (task.phase === 'ordered') task.phase = 'running'
     },
     drain: (remainingMs) => { drainsBy = timers.monotonic() + remainingMs },
-    counts: () => ({ jobs: accepted, running: byKey.size, outcomes: { ...outcomes } }),
     stop: () => cancelReview()
   }
 
--- a/packages/attended/src/interface.ts
+++ b/packages/attended/src/interface.ts
@@ -47,8 +47,8 @@
   patienceMs: number
 }
 
-export type NotRunReason = 'overload' | 'no-workers' | 'never-runnable' | 'draining'
-export type UnknownReason = 'patience' | 'caller-gone' | 'worker-lost'
+export type NotRunReason = 'overload' | 'never-runnable' | 'draining'
+export type UnknownReason = 'patience' | 'caller-gone'
 
 /** How a job ended. `not-run` is true for good: no task of it has started or will. */
 export type Outcome =
@@ -61,12 +61,6 @@
 /** Called once with the end of the job, unless its caller was gone before. */
 export type Answer = (outcome: Outcome) => void
 
-export interface Counts {
-  jobs: number
-  running: number
-  outcomes: Record<Outcome['kind'], number>
-}
-
 /** Queues, places and watches the jobs of one entry. */
 export interface Dispatcher {
   submit (job: Job, answer: Answer): void
@@ -83,7 +77,6 @@
   receive (link: number, message: runs.FromAgent): void
   /** From now on new jobs are refused unless they can end within `remainingMs`. */
   drain (remainingMs: number): void
-  counts (): Counts
   /** Ends the reviews of waiting and lost tasks; no answer follows. */
   stop (): void
 }
--- a/packages/attended/src/jobs.ts
+++ b/packages/attended/src/jobs.ts
@@ -34,6 +34,8 @@
   arrivedAt: number
   /** Monotonic ms at which its caller stops waiting. */
   patienceEnds: number
+  /** Expected duration in ms of its longest chain of steps. */
+  chainMs: number
   /** Monotonic ms by which it has to start to meet its aim. */
   latestStart: number
   /** A task of it may have started. */
@@ -65,6 +67,7 @@
     remaining: job.steps.map((step) => step.tasks.length),
     arrivedAt: now,
     patienceEnds: now + job.patienceMs,
+    chainMs,
     latestStart: now + Math.max(objectiveMs, chainMs * (stretch - 1) + objectiveMs),
     mayHaveStarted: false,
     answers: [answer],
@@ -85,6 +88,9 @@
   return state
 }
 
+/** True for a task that is on no worker and was not done yet. */
+export const isUnordered = ({ phase }: TaskState): boolean => phase === 'waiting' || phase === 'blocked'
+
 /** Notes that the task is done and frees the steps that waited for it. Returns true when the whole job is done. */
 export const complete = (state: JobState, { step }: TaskState): boolean => {
   state.remaining[step]!--
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -17,14 +17,6 @@
 /** Time in ms between reviews of doubtful runs and of the lease. */
 const REVIEW_MS = 50
 
-export interface Counts {
-  started: number
-  ended: number
-  refused: number
-  doubtful: number
-  lapsed: number
-}
-
 interface EntryLink {
   entry: string
   /** Number of the latest message with orders. */
@@ -49,7 +41,8 @@
   /** The process stood still: calls that were under way have no answer that can be relied on. */
   resumed (): void
   worker (): runs.Worker | undefined
-  counts (): Counts
+  /** Runs that hold room on the worker. */
+  size (): number
   stop (): void
 }
 
@@ -65,7 +58,6 @@
   const lease = leases.create(timers)
   const token = leases.createToken(timers)
   const links = new Map<number, EntryLink>()
-  const counts: Counts = { started: 0, ended: 0, refused: 0, doubtful: 0, lapsed: 0 }
   let worker: runs.Worker | undefined
   /** Life whose runs the books hold, as the worker's listings name it. */
   let listedBornMs: number | undefined
@@ -106,15 +98,12 @@
   const finish = (run: accounts.Run, end: runs.RunEnd, reason?: string): void => {
     if (books.get(run.task) !== run) return
     books.remove(run)
-    counts.ended++
-    if (end === 'lapsed') counts.lapsed++
     const ranMs = Math.round(timers.monotonic() - run.orderedAt)
     log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason })
     tell(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
     roomChanged()
   }
   const refuse = (link: number, task: runs.TaskId, reason: string): void => {
-    counts.refused++
     log.info('run-refused', { task, reason })
     send(link, { kind: 'ended', task, run: 0, end: 'unstarted', ranMs: 0, reason })
   }
@@ -140,13 +129,11 @@
       return finish(run, 'unstarted', reply.reason)
     }
     if (reply.kind === 'started') {
-      counts.started++
       if (run.state !== 'ordered') return
       run.state = 'running'
       tell(run, { kind: 'started', task: run.task, run: run.run })
       return
     }
-    counts.doubtful++
     log.warn('start-unanswered', { task: run.task, run: run.run })
     if (run.state === 'ordered') run.state = 'doubtful'
     stopRun(run)
@@ -170,7 +157,7 @@
     }
     books.add(run)
     lease.asked(leaseUntilMs)
-    log.info('run-start', { task: run.task, run: run.run, link, freeMillicores: books.free().millicores })
+    log.info('run-order', { task: run.task, run: run.run, link, freeMillicores: books.free().millicores })
     const order = { task: run.task, run: run.run, spec, leaseUntilMs, token: token.current() }
     onStartReply(run, await calls.start(worker.id, order, CALL_TIMEOUT_MS))
   }
@@ -267,7 +254,7 @@
     announced: (next, clockMs) => {
       if (worker && next.bornMs < worker.bornMs) return log.warn('announcement-outdated', { worker: next.id })
       const changed = worker?.id !== next.id || worker.bornMs !== next.bornMs
-      if (changed) log.info('worker', { worker: next.id, born: next.bornMs, millicores: next.capacity.millicores })
+      if (changed) log.info('worker', { worker: next.id, bornMs: next.bornMs, millicores: next.capacity.millicores })
       if (!changed && worker && worker.leaving !== next.leaving) log.info('worker-leaving', { leaving: next.leaving })
       if (changed && listedBornMs !== undefined && listedBornMs !== next.bornMs) newLife()
       worker = next
@@ -309,7 +296,7 @@
     },
     resumed: () => { listedAt = -Infinity },
     worker: () => worker,
-    counts: () => ({ ...counts }),
+    size: () => books.size(),
     stop: () => { stopped = true }
   }
 }
