Put together links, configuration and members of entry and agent in one place

Both built the same links, pause watch, follower and search for peers. member.ts does so for both; each keeps only what it handles by itself.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -2,14 +2,10 @@
 import type * as log from '@mustarddeck/log'
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
-import * as sessions from '@mustarddeck/sessions'
 import * as follow from './follow.ts'
-import type * as messages from './messages.ts'
-import * as discovery from './peers.ts'
+import * as members from './member.ts'
 import type * as stores from './store.ts'
 
-/** Longest gap in ms that is no pause; below the time for which peers trust each other. */
-const PAUSE_LIMIT_MS = 300
 /** Time in ms before the write of the worker's row is tried again. */
 const KEEP_RETRY_MS = 500
 /** Time in ms after the start in which entries are expected to follow the store on behalf of the agent. */
@@ -56,48 +52,29 @@
   let stopped = false
 
   const agent = runAgent.create({ calls, timers, log, send: (link, message) => links.send(link, message) })
-  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
-    log.warn('pause', { gapMs })
-    agent.resumed()
-    links.closeAll('process stood still')
-  })
-  const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
+  const member = members.create({
     hello: { role: 'agent', name, life, address: '' },
-    timers,
-    log,
-    beforeInput: () => pauses.check(),
-    handler: {
-      up: (session) => {
-        peers.up(session)
-        const deployment = follower.current()
-        if (deployment) links.send(session.id, { kind: 'deployment', deployment })
-        agent.linkUp(session.id, session.peer.life)
-      },
-      message: (session, message) => {
-        if (message.kind === 'start' || message.kind === 'stop') agent.receive(session.id, message)
-        else if (message.kind === 'deployment') follower.offer(message.deployment)
-        else if (message.kind === 'entries') peers.learn(message.addresses)
-        else if (message.kind === 'status') storeReachable.set(session.id, message.storeReachable)
-        else log.warn('message-unexpected', { kind: message.kind, peer: session.peer.name })
-      },
-      down: (session) => {
-        peers.down(session)
-        storeReachable.delete(session.id)
-        agent.linkDown(session.id)
-      }
-    }
-  })
-  // Entries follow the store; where none of them reaches it, agents do, and pass on what they read.
-  const isNeeded = (): boolean => timers.monotonic() - startedAt > FOLLOW_AFTER_MS &&
-    ![...storeReachable.values()].includes(true)
-  const follower = follow.create({
+    seeds,
     store,
     timers,
     log,
-    isNeeded,
-    onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
+    tidies: false,
+    // Entries follow the store; where none of them reaches it, agents do, and pass on what they read.
+    followsStore: () => timers.monotonic() - startedAt > FOLLOW_AFTER_MS &&
+      ![...storeReachable.values()].includes(true),
+    onPause: () => agent.resumed(),
+    up: ({ id, peer }) => agent.linkUp(id, peer.life),
+    message: ({ id, peer }, message) => {
+      if (message.kind === 'start' || message.kind === 'stop') agent.receive(id, message)
+      else if (message.kind === 'status') storeReachable.set(id, message.storeReachable)
+      else log.warn('message-unexpected', { kind: message.kind, peer: peer.name })
+    },
+    down: ({ id }) => {
+      storeReachable.delete(id)
+      agent.linkDown(id)
+    }
   })
-  const peers = discovery.create({ links, store, timers, log, seeds, tidies: false })
+  const { links } = member
 
   const keep = async (): Promise<void> => {
     const value = JSON.stringify(agent.worker())
@@ -132,10 +109,7 @@
     stop: () => {
       stopped = true
       agent.stop()
-      follower.stop()
-      peers.stop()
-      pauses.stop()
-      links.stop()
+      member.stop()
     }
   }
 }
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -3,19 +3,16 @@
 import type * as log from '@mustarddeck/log'
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
-import * as sessions from '@mustarddeck/sessions'
+import type * as sessions from '@mustarddeck/sessions'
 import type * as deployments from './deployment.ts'
-import * as follow from './follow.ts'
+import * as members from './member.ts'
 import type * as messages from './messages.ts'
-import * as discovery from './peers.ts'
 import type * as stores from './store.ts'
 
 /** Time in ms between reports of an entry's state to other processes. */
 const STATUS_MS = 300
 /** Time in ms that a cancellation waits for the other entries. */
 const CANCEL_TIMEOUT_MS = 400
-/** Longest gap in ms that is no pause; below the time for which peers trust each other. */
-const PAUSE_LIMIT_MS = 300
 /** Time in ms before the write of the entry's own row is tried again. */
 const ANNOUNCE_RETRY_MS = 300
 /** Margin in ms for a stop that an agent orders when it loses its entry. */
@@ -73,11 +70,6 @@
     entries: () => 1 + otherEntries().length,
     send: (link, message) => links.send(link, message)
   })
-  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
-    log.warn('pause', { gapMs })
-    links.closeAll('process stood still')
-  })
-
   const receive = (session: sessions.Session, message: messages.Message): void => {
     switch (message.kind) {
       case 'room':
@@ -86,11 +78,6 @@
       case 'started':
       case 'ended':
         return jobs.receive(session.id, message)
-      case 'deployment':
-        follower.offer(message.deployment)
-        return
-      case 'entries':
-        return peers.learn(message.addresses)
       case 'status':
         statuses.set(session.id, message.waiting)
         return
@@ -100,8 +87,7 @@
         })
       case 'cancel-reply':
         return onCancelReply(message.request, message.known)
-      case 'start':
-      case 'stop':
+      default:
         log.warn('message-unexpected', { kind: message.kind, peer: session.peer.name })
     }
   }
@@ -112,35 +98,26 @@
     if (known || cancellation.open === 0) cancellation.finish(known)
   }
 
-  const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
+  const member = members.create({
     hello: { role: 'entry', name, life, address },
-    timers,
-    log,
-    beforeInput: () => pauses.check(),
-    handler: {
-      up: (session) => {
-        peers.up(session)
-        const deployment = follower.current()
-        if (deployment) links.send(session.id, { kind: 'deployment', deployment })
-        if (session.peer.role === 'agent') jobs.agentUp(session.id, session.peer.name, session.peer.life)
-      },
-      message: receive,
-      down: (session, trustedUntil) => {
-        peers.down(session)
-        usable.delete(session.id)
-        statuses.delete(session.id)
-        if (session.peer.role === 'agent') jobs.agentDown(session.id, trustedUntil)
-      }
-    }
-  })
-  const follower = follow.create({
+    seeds,
     store,
     timers,
     log,
-    isNeeded: () => true,
-    onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
+    tidies: true,
+    followsStore: () => true,
+    onPause: () => {},
+    up: ({ id, peer }) => {
+      if (peer.role === 'agent') jobs.agentUp(id, peer.name, peer.life)
+    },
+    message: receive,
+    down: ({ id, peer }, trustedUntil) => {
+      usable.delete(id)
+      statuses.delete(id)
+      if (peer.role === 'agent') jobs.agentDown(id, trustedUntil)
+    }
   })
-  const peers = discovery.create({ links, store, timers, log, seeds, tidies: true })
+  const { links, follower, peers } = member
 
   const announce = async (): Promise<void> => {
     const result = await store.write('entries', { key: name, value: address })
@@ -201,10 +178,7 @@
     stop: () => {
       stopped = true
       jobs.stop()
-      follower.stop()
-      peers.stop()
-      pauses.stop()
-      links.stop()
+      member.stop()
     }
   }
 }
--- /dev/null
+++ b/packages/fleet/src/member.ts
@@ -0,0 +1,90 @@
+import type * as clock from '@mustarddeck/clock'
+import type * as log from '@mustarddeck/log'
+import * as sessions from '@mustarddeck/sessions'
+import * as follow from './follow.ts'
+import type * as messages from './messages.ts'
+import * as discovery from './peers.ts'
+import type * as stores from './store.ts'
+
+/** Longest gap in ms that is no pause; below the time for which peers trust each other. */
+const PAUSE_LIMIT_MS = 300
+
+/** What entries and agents have in common: links to peers, and the configuration that they pass on. */
+export interface Member {
+  links: sessions.Sessions<messages.Message>
+  follower: follow.Follower
+  peers: discovery.Peers
+  stop (): void
+}
+
+export interface Options {
+  hello: sessions.Hello
+  seeds: string[]
+  store: stores.Store
+  timers: clock.Timers
+  log: log.Log
+  /** True for a process that removes rows of entries that are gone. */
+  tidies: boolean
+  /** False while peers that follow the store make that needless here. */
+  followsStore (): boolean
+  /** The process stood still; its links are closed next. */
+  onPause (): void
+  up (session: sessions.Session): void
+  /** Handles what is not for all members. */
+  message (session: sessions.Session, message: messages.Message): void
+  down (session: sessions.Session, trustedUntil: number): void
+}
+
+export const create = (options: Options): Member => {
+  const { hello, seeds, store, timers, log, tidies } = options
+
+  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
+    log.warn('pause', { gapMs })
+    options.onPause()
+    links.closeAll('process stood still')
+  })
+  const receive = (session: sessions.Session, message: messages.Message): void => {
+    if (message.kind === 'deployment') follower.offer(message.deployment)
+    else if (message.kind === 'entries') peers.learn(message.addresses)
+    else options.message(session, message)
+  }
+  const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
+    hello,
+    timers,
+    log,
+    beforeInput: () => pauses.check(),
+    handler: {
+      up: (session) => {
+        peers.up(session)
+        const deployment = follower.current()
+        if (deployment) links.send(session.id, { kind: 'deployment', deployment })
+        options.up(session)
+      },
+      message: receive,
+      down: (session, trustedUntil) => {
+        peers.down(session)
+        options.down(session, trustedUntil)
+      }
+    }
+  })
+  const follower = follow.create({
+    store,
+    timers,
+    log,
+    isNeeded: options.followsStore,
+    onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
+  })
+  const peers = discovery.create({ links, store, timers, log, seeds, tidies })
+
+  return {
+    links,
+    follower,
+    peers,
+    stop: () => {
+      follower.stop()
+      peers.stop()
+      pauses.stop()
+      links.stop()
+    }
+  }
+}
