Hold every result while the heap of the next one is measured

Cause: a background compilation keeps the result of the run before reachable, so that the baseline of a run contains it and its release counts against the run. In a fresh process the series ledger-job read 352824, 111280, 120904 and 5803400 bytes for 1000 to 4000 jobs; with compilations delayed by 1 s it read 1476352 to 5396648. Change: results stay held until the last run has been measured. A test that releases each result one run late reads -16 bytes before and the whole size after.

--- a/packages/capacity/src/capacity.test.ts
+++ b/packages/capacity/src/capacity.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import * as fits from './fit.ts'
+import * as measure from './measure.ts'
 import * as measurements from './measurements.ts'
 import * as plot from './plot.ts'
 import * as series from './series.ts'
@@ -20,6 +21,20 @@
   })
 })
 
+describe('heap of a result', () => {
+  it('counts whole although earlier results are released late', () => {
+    const entries = 50_000
+    let latest: number[][] = []
+    const bytes = measure.heapBytes(() => {
+      // Releases the result of the run before only now, as a compilation in the background does.
+      latest = Array.from({ length: entries }, (_, index) => [index])
+      return latest
+    })
+    expect(latest).to.have.length(entries)
+    expect(bytes).to.be.greaterThan(entries * Uint32Array.BYTES_PER_ELEMENT)
+  })
+})
+
 describe('capacity at small sizes', () => {
   let all: Map<string, series.Fitted>
   const of = (id: string): series.Fitted => all.get(id)!
--- a/packages/capacity/src/measure.ts
+++ b/packages/capacity/src/measure.ts
@@ -1,3 +1,4 @@
+import * as errors from '@mustarddeck/errors'
 import * as v8 from 'node:v8'
 import * as vm from 'node:vm'
 import * as statistics from 'simple-statistics'
@@ -24,15 +25,17 @@
 
 /** Heap in bytes that `create` leaves reachable through its result; the median of several runs. */
 export const heapBytes = (create: () => unknown): number => {
+  // The first run compiles the code. No result is released before the end: a compilation in the background can keep one
+  // reachable for a while, and its release would then count against a later run.
+  const kept = [create()]
   const run = (): number => {
     const before = settledHeap()
-    const kept = create()
-    const after = settledHeap()
-    return kept === undefined ? 0 : after - before
+    kept.push(create())
+    return settledHeap() - before
   }
-  // The first run compiles the code.
-  create()
-  return statistics.median(Array.from({ length: HEAP_RUNS }, run))
+  const runs = Array.from({ length: HEAP_RUNS }, run)
+  errors.invariant(kept.length === HEAP_RUNS + 1, 'every result is still held')
+  return statistics.median(runs)
 }
 
 /** Smallest result of several runs, since other work on the machine only adds time. */
