Tell free room first to the entry whose waiting task is most urgent

Change: entries tell agents how urgent their waiting tasks are; an agent tells new room to the most urgent entry, to the next one after 4 ms or when the first passes it on, and to the others at intervals. An entry places only on the agent that has told news.

--- a/packages/attended/src/agents.ts
+++ b/packages/attended/src/agents.ts
@@ -15,6 +15,8 @@
   sequence: number
   /** Orders that the agent's figure does not contain yet. */
   inFlight: Map<runs.TaskId, { sequence: number, amount: runs.Amount }>
+  /** The agent has told of its worker on this link. */
+  hasTold: boolean
   /** Tasks ordered there that have not ended. */
   tasks: Map<runs.TaskId, jobs.TaskState>
   health: placement.health.WorkerHealth
@@ -66,6 +68,7 @@
         free: runs.NOTHING,
         sequence: 0,
         inFlight: new Map(),
+        hasTold: false,
         tasks: new Map(),
         health: placement.health.createWorkerHealth()
       }
--- a/packages/attended/src/choice.ts
+++ b/packages/attended/src/choice.ts
@@ -8,13 +8,10 @@
 export interface Situation {
   zone: string
   now: number
+  candidates: Iterable<fleet.Agent>
 }
 
-const countOfStep = (agent: fleet.Agent, { job, step }: jobs.TaskState): number => {
-  let count = 0
-  for (const task of agent.tasks.values()) if (task.job === job && task.step === step) count++
-  return count
-}
+const countOfStep = (agent: fleet.Agent, { job, step }: jobs.TaskState): number => job.placed[step]!.get(agent) ?? 0
 
 const mayRun = (agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, now: number): boolean => {
   const { worker } = agent
@@ -27,13 +24,16 @@
   return agents.health.accepts(agent.health) || agents.health.wantsTrial(agent.health, now)
 }
 
-/** Returns the agent for the task: one with room that has tasks of the same job, or else the one with most room. */
+/**
+ * Returns the agent for the task among the candidates: one with room that has tasks of the same job, or else the one
+ * with most room.
+ */
 export const choose = (
-  agents: fleet.Agents, state: jobs.TaskState, { zone, now }: Situation
+  agents: fleet.Agents, state: jobs.TaskState, { zone, now, candidates }: Situation
 ): fleet.Agent | undefined => {
   let best: fleet.Agent | undefined
   let bestScore = -Infinity
-  for (const agent of agents.all()) {
+  for (const agent of candidates) {
     if (!mayRun(agents, agent, state, now)) continue
     const worker = agent.worker!
     let score = agent.free.millicores / worker.capacity.millicores
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as learning from './estimates.ts'
 import type * as attended from './interface.ts'
 import * as jobs from './jobs.ts'
+import * as wanting from './wants.ts'
 
 /** Time in ms between reviews of waiting, lost and overdue tasks. */
 const REVIEW_MS = 20
@@ -38,6 +39,7 @@
 export const create = ({ timers, log, zone, lapseAfterMs, entries, send }: Options): attended.Dispatcher => {
   const agents = fleet.create()
   const estimates = learning.create()
+  const wants = wanting.create({ timers, send })
   const byKey = new Map<runs.JobKey, jobs.JobState>()
   /** Tasks that may be on a worker, also those of jobs that have ended. */
   const unsettled = new Map<runs.TaskId, jobs.TaskState>()
@@ -76,7 +78,7 @@
   const settle = (task: jobs.TaskState): void => {
     const id = task.task.id
     if (task.agent) agents.settle(task.agent, id)
-    task.agent?.tasks.delete(id)
+    if (task.agent?.tasks.delete(id)) jobs.count(task, task.agent, -1)
     unsettled.delete(id)
     task.phase = task.job.ended ? 'done' : 'waiting'
     if (!task.job.ended) waiting.add(task.job)
@@ -138,21 +140,20 @@
       place()
     })
   }
-  /** Starts what fits, the jobs with the earliest latest start first. */
-  const place = (): void => {
+  /** Starts what fits on one agent or on any, the jobs with the earliest latest start first. */
+  const place = (only?: fleet.Agent): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
+    const candidates = only ? [only] : [...agents.all()].filter(({ free }) => free.millicores > 0)
     const inOrder = [...waiting].sort((left, right) => left.latestStart - right.latestStart)
-    for (const job of inOrder) placeJob(job, batch)
+    for (const job of inOrder) placeJob(job, { zone, now: timers.monotonic(), candidates }, batch)
     for (const [agent, tasks] of batch) sendOrders(agent, tasks)
   }
-  const placeJob = (job: jobs.JobState, batch: Batch): void => {
+  const placeJob = (job: jobs.JobState, situation: choice.Situation, batch: Batch): void => {
     let left = 0
     for (const task of job.tasks) {
       if (task.phase !== 'waiting') continue
-      const agent = unsettled.has(task.task.id)
-        ? undefined
-        : choice.choose(agents, task, { zone, now: timers.monotonic() })
+      const agent = unsettled.has(task.task.id) ? undefined : choice.choose(agents, task, situation)
       if (agent) order(task, agent, batch)
       else left++
     }
@@ -167,6 +168,7 @@
     }
     Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, orderedAt: timers.monotonic() })
     agent.tasks.set(task.task.id, task)
+    jobs.count(task, agent, 1)
     agents.order(agent, task.task.id, task.task.amount)
     unsettled.set(task.task.id, task)
   }
@@ -213,6 +215,7 @@
       }
     }
     place()
+    wants.announce(agents.all(), waiting)
   }
   let cancelReview = timers.after(REVIEW_MS, review)
 
@@ -285,6 +288,7 @@
     agentDown: (link, trustedUntil) => {
       const agent = agents.down(link)
       if (!agent) return
+      wants.forget(agent)
       for (const task of agent.tasks.values()) lose(task, trustedUntil + lapseAfterMs)
     },
     receive: (link, message) => {
@@ -292,8 +296,10 @@
       if (!agent) return
       if (message.kind === 'room') {
         agents.update(agent, message)
-        if (message.worker) settleFormerLife(agent)
-        return place()
+        if (message.worker && !agent.hasTold) settleFormerLife(agent)
+        agent.hasTold ||= message.worker !== undefined
+        place(agent)
+        return wants.answer(agent, waiting)
       }
       if (message.kind === 'ended') return onEnded(agent, message)
       const task = unsettled.get(message.task)
--- a/packages/attended/src/jobs.ts
+++ b/packages/attended/src/jobs.ts
@@ -31,6 +31,8 @@
   tasks: TaskState[]
   /** Tasks of each step that are not done. */
   remaining: number[]
+  /** Tasks of each step on each agent. */
+  placed: Array<Map<agents.Agent, number>>
   arrivedAt: number
   /** Monotonic ms at which its caller stops waiting. */
   patienceEnds: number
@@ -65,6 +67,7 @@
     job,
     tasks: [],
     remaining: job.steps.map((step) => step.tasks.length),
+    placed: job.steps.map(() => new Map()),
     arrivedAt: now,
     patienceEnds: now + job.patienceMs,
     chainMs,
@@ -88,6 +91,12 @@
   return state
 }
 
+/** Counts a task in or out of those of its step on an agent. */
+export const count = ({ job, step }: TaskState, agent: agents.Agent, by: 1 | -1): void => {
+  const placed = job.placed[step]!
+  placed.set(agent, (placed.get(agent) ?? 0) + by)
+}
+
 /** True for a task that is on no worker and was not done yet. */
 export const isUnordered = ({ phase }: TaskState): boolean => phase === 'waiting' || phase === 'blocked'
 
--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -65,7 +65,7 @@
     onPause: () => agent.resumed(),
     up: ({ id, peer }) => agent.linkUp(id, peer.life),
     message: ({ id, peer }, message) => {
-      if (message.kind === 'start' || message.kind === 'stop') agent.receive(id, message)
+      if (message.kind === 'start' || message.kind === 'stop' || message.kind === 'want') agent.receive(id, message)
       else if (message.kind === 'status') storeReachable.set(id, message.storeReachable)
       else log.warn('message-unexpected', { kind: message.kind, peer: peer.name })
     },
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -3,6 +3,7 @@
 import * as runs from '@mustarddeck/runs'
 import * as accounts from './books.ts'
 import * as leases from './lease.ts'
+import * as offers from './rooms.ts'
 
 /** Time in ms after which an order or a stop without an answer counts as doubtful; a call takes a few ms. */
 const CALL_TIMEOUT_MS = 80
@@ -17,14 +18,6 @@
 /** Time in ms between reviews of doubtful runs and of the lease. */
 const REVIEW_MS = 50
 
-interface EntryLink {
-  entry: string
-  /** Number of the latest message with orders. */
-  sequence: number
-  /** What the entry was told last of the free room. */
-  told: string
-}
-
 /** Starts, stops and accounts for everything that runs on one worker. */
 export interface Agent {
   /** The worker has told about itself. */
@@ -57,7 +50,8 @@
   const books = accounts.create()
   const lease = leases.create(timers)
   const token = leases.createToken(timers)
-  const links = new Map<number, EntryLink>()
+  /** Lives of entries by link. */
+  const links = new Map<number, string>()
   let worker: runs.Worker | undefined
   /** Life whose runs the books hold, as the worker's listings name it. */
   let listedBornMs: number | undefined
@@ -65,47 +59,38 @@
   let listedAt = -Infinity
   let stopped = false
   let whenEmpty: (() => void) | undefined
-  let flushScheduled = false
 
   const isReady = (): boolean => worker !== undefined && !worker.leaving && whenEmpty === undefined &&
     listedBornMs === worker.bornMs && !books.hasForeign() && timers.monotonic() - listedAt < QUIET_AFTER_MS
 
-  const roomFor = ({ sequence }: EntryLink): runs.RoomMessage => isReady()
-    ? { kind: 'room', sequence, worker, free: books.free() }
-    : { kind: 'room', sequence, free: runs.NOTHING }
-
-  /** Tells the entries what is free, once per turn of the event loop, where it is news to them. */
-  const flush = (): void => {
-    flushScheduled = false
-    for (const [link, state] of links) {
-      const room = roomFor(state)
-      const text = JSON.stringify(room)
-      if (text !== state.told) send(link, room)
-      state.told = text
-    }
-    if (whenEmpty && books.size() === 0) whenEmpty()
-  }
-  const roomChanged = (): void => {
-    if (flushScheduled || stopped) return
-    flushScheduled = true
-    timers.after(0, flush)
-  }
+  const rooms = offers.create({
+    timers,
+    room: () => isReady() ? { worker, free: books.free() } : { free: runs.NOTHING },
+    send
+  })
 
-  /** Tells the entry that wants the run, on whichever link it has now. */
+  /** Tells the entry that wants the run, on whichever link it has now, and what is free then. */
   const tell = (run: accounts.Run, message: runs.FromAgent): void => {
-    for (const [link, { entry }] of links) if (entry === run.entry) return send(link, message)
+    for (const [link, entry] of links) {
+      if (entry !== run.entry) continue
+      send(link, message)
+      return rooms.join(link)
+    }
   }
   const finish = (run: accounts.Run, end: runs.RunEnd, reason?: string): void => {
     if (books.get(run.task) !== run) return
     books.remove(run)
     const ranMs = Math.round(timers.monotonic() - run.orderedAt)
     log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason })
+    rooms.freed()
     tell(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
-    roomChanged()
+    if (whenEmpty && books.size() === 0) whenEmpty()
   }
   const refuse = (link: number, task: runs.TaskId, reason: string): void => {
     log.info('run-refused', { task, reason })
     send(link, { kind: 'ended', task, run: 0, end: 'unstarted', ranMs: 0, reason })
+    // Once the rest of the message has been accounted for, and still in the same frame.
+    queueMicrotask(() => rooms.join(link))
   }
 
   const stopRun = async (run: accounts.Run): Promise<void> => {
@@ -148,7 +133,7 @@
     const run: accounts.Run = {
       task: wanted.task,
       run: books.nextRun(wanted.task, wanted.run),
-      entry: links.get(link)?.entry,
+      entry: links.get(link),
       amount: wanted.amount,
       state: 'ordered',
       orderedAt: timers.monotonic(),
@@ -169,7 +154,7 @@
     listedBornMs = undefined
     lease.reset()
     token.advance()
-    roomChanged()
+    rooms.changed()
   }
 
   const onListing = ({ clockMs, bornMs, running, ended }: runs.Listing, askedAt: number): void => {
@@ -192,7 +177,7 @@
       if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) finish(run, 'unstarted', 'stopped early')
     }
     for (const { task, run } of running) if (books.get(task)?.run !== run) adopt(task, run)
-    if (wasQuiet) roomChanged()
+    if (wasQuiet) rooms.changed()
   }
 
   /** A run that this life of the agent has not ordered, or had given up, is on the worker: it is stopped. */
@@ -211,7 +196,7 @@
     }
     books.add(foreign)
     stopRun(foreign)
-    roomChanged()
+    rooms.changed()
   }
 
   const list = async (longestWaitMs: number): Promise<void> => {
@@ -245,7 +230,7 @@
       if (now > lease.expiredBy() && now - listedAt > QUIET_AFTER_MS) finish(run, 'lapsed', 'lease expired')
       else if (run.state === 'doubtful' || run.state === 'stopping') stopRun(run)
     }
-    roomChanged()
+    rooms.changed()
   }
 
   timers.after(0, listAgain)
@@ -260,43 +245,49 @@
       worker = next
       books.resize(next.capacity)
       if (clockMs !== undefined && lease.next() === undefined && listedBornMs === next.bornMs) lease.read(clockMs)
-      roomChanged()
+      rooms.changed()
     },
     withdrawn: (id) => {
       if (worker?.id !== id) return
       log.info('worker-gone', { worker: id })
       worker = { ...worker, leaving: true }
-      roomChanged()
+      rooms.changed()
     },
     linkUp: (link, entry) => {
-      links.set(link, { entry, sequence: 0, told: '' })
-      roomChanged()
+      links.set(link, entry)
+      rooms.up(link)
     },
     linkDown: (link) => {
-      const entry = links.get(link)?.entry
+      const entry = links.get(link)
       links.delete(link)
+      rooms.down(link)
       for (const run of books.all()) if (entry !== undefined && run.entry === entry) stopRun(run)
     },
     receive: (link, message) => {
-      const state = links.get(link)
-      if (!state) return
+      const entry = links.get(link)
+      if (entry === undefined) return
+      if (message.kind === 'want') return rooms.wants(link, message.withinMs)
       if (message.kind === 'start') {
-        state.sequence = message.sequence
+        rooms.ordered(link, message.sequence)
         for (const wanted of message.tasks) start(link, message.spec, wanted)
-        return roomChanged()
+        return rooms.changed()
       }
       for (const task of message.tasks) {
         const run = books.get(task)
-        if (run?.entry === state.entry) stopRun(run)
+        if (run?.entry === entry) stopRun(run)
       }
     },
     drain: (done) => {
       whenEmpty = done
-      roomChanged()
+      rooms.changed()
+      if (books.size() === 0) timers.after(0, done)
     },
     resumed: () => { listedAt = -Infinity },
     worker: () => worker,
     size: () => books.size(),
-    stop: () => { stopped = true }
+    stop: () => {
+      stopped = true
+      rooms.stop()
+    }
   }
 }
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -23,7 +23,14 @@
   tasks: runs.TaskId[]
 }
 
-export type ToAgent = StartMessage | StopMessage
+/** Tasks wait at the entry for room: the agent tells it of room before others whose work is less urgent. */
+export interface WantMessage {
+  kind: 'want'
+  /** Time in ms in which the most urgent of the tasks has to start; absent when none waits any more. */
+  withinMs?: number
+}
+
+export type ToAgent = StartMessage | StopMessage | WantMessage
 
 /** The worker and what is free on it, after all `start` messages up to `sequence`. */
 export interface RoomMessage {
