Do not confirm starts to entries, and update idle entries less often

Cause: every start was confirmed in a frame of its own, though an entry treats an order as started until it hears the opposite; updates of room took up to 250 messages a second of each agent. Change: no message for a start; 100 updates a second for all entries together.

--- a/packages/attended/src/agents.ts
+++ b/packages/attended/src/agents.ts
@@ -11,6 +11,8 @@
   worker: runs.Worker | undefined
   /** Free room as the agent told it, less the orders that it had not seen by then. */
   free: runs.Amount
+  /** Entries that share the worker, this one included. */
+  sharers: number
   /** Number of the latest message with orders. */
   sequence: number
   /** Orders that the agent's figure does not contain yet. */
@@ -66,6 +68,7 @@
         life,
         worker: undefined,
         free: runs.NOTHING,
+        sharers: 1,
         sequence: 0,
         inFlight: new Map(),
         hasTold: false,
@@ -82,9 +85,10 @@
     },
     get: (link) => byLink.get(link),
     all: () => byLink.values(),
-    update: (agent, { worker, free, sequence }) => {
+    update: (agent, { worker, free, sequence, sharers }) => {
       if (worker && worker.bornMs !== agent.worker?.bornMs) judge(agent, worker)
       agent.worker = worker
+      agent.sharers = sharers
       for (const [task, order] of agent.inFlight) if (order.sequence <= sequence) agent.inFlight.delete(task)
       refresh(agent, free)
     },
--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -41,7 +41,6 @@
     log,
     zone: 'khangai-a',
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
-    entries: () => 1,
     send: (link, message) => {
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
     }
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -28,15 +28,13 @@
   zone: string
   /** Longest time in ms that a run may go on after its agent has ceased to act for this entry. */
   lapseAfterMs: number
-  /** Number of entries that share the workers, this one included. */
-  entries (): number
   send (link: number, message: runs.ToAgent): void
 }
 
 /** Orders for one agent that leave in one message. */
 type Batch = Map<fleet.Agent, jobs.TaskState[]>
 
-export const create = ({ timers, log, zone, lapseAfterMs, entries, send }: Options): attended.Dispatcher => {
+export const create = ({ timers, log, zone, lapseAfterMs, send }: Options): attended.Dispatcher => {
   const agents = fleet.create()
   const estimates = learning.create()
   const wants = wanting.create({ timers, send })
@@ -69,7 +67,7 @@
 
   const stop = (task: jobs.TaskState): void => {
     if (jobs.isUnordered(task)) task.phase = 'done'
-    if (task.phase !== 'ordered' && task.phase !== 'running') return
+    if (task.phase !== 'ordered') return
     task.phase = 'stopping'
     send(task.agent!.link, { kind: 'stop', tasks: [task.task.id] })
   }
@@ -207,7 +205,7 @@
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
         settle(task)
       }
-      if (task.phase === 'running' && now > task.orderedAt + OVERDUE_FACTOR * estimateOf(task) + MIN_OVERDUE_MS) {
+      if (task.phase === 'ordered' && now > task.orderedAt + OVERDUE_FACTOR * estimateOf(task) + MIN_OVERDUE_MS) {
         log.warn('run-overdue', { task: task.task.id, agent: task.agent?.name, expectedMs: Math.round(estimateOf(task)) })
         judge(task, task.agent!, true, now - task.orderedAt)
         task.avoid.add(task.agent!.name)
@@ -224,8 +222,10 @@
   /** Part of the service's workers that is this entry's when all entries are under load. */
   const ownShare = (service: string): number => {
     let total = 0
-    for (const { worker } of agents.all()) if (worker?.service === service) total += worker.capacity.millicores
-    return total / entries()
+    for (const { worker, sharers } of agents.all()) {
+      if (worker?.service === service) total += worker.capacity.millicores / sharers
+    }
+    return total
   }
   const canEverRun = (job: attended.Job): boolean => {
     const workers = [...agents.all()].flatMap(({ worker }) => worker?.service === job.queue.service ? [worker] : [])
@@ -301,11 +301,7 @@
         place(agent)
         return wants.answer(agent, waiting)
       }
-      if (message.kind === 'ended') return onEnded(agent, message)
-      const task = unsettled.get(message.task)
-      if (!task || task.agent !== agent) return
-      task.job.mayHaveStarted = true
-      if (task.phase === 'ordered') task.phase = 'running'
+      onEnded(agent, message)
     },
     drain: (remainingMs) => { drainsBy = timers.monotonic() + remainingMs },
     stop: () => cancelReview()
--- a/packages/attended/src/jobs.ts
+++ b/packages/attended/src/jobs.ts
@@ -4,10 +4,10 @@
 /**
  * State of a task.
  * - `blocked`: an earlier step is not done. `waiting`: to be placed.
- * - `ordered`: an agent was asked to start it. `running`: its start is confirmed.
+ * - `ordered`: an agent was asked to start it, and has not said that it ended.
  * - `stopping`: the agent was asked to stop it. `lost`: its agent is gone, and it may run until `settledAt`.
  */
-export type Phase = 'blocked' | 'waiting' | 'ordered' | 'running' | 'stopping' | 'lost' | 'done'
+export type Phase = 'blocked' | 'waiting' | 'ordered' | 'stopping' | 'lost' | 'done'
 
 export interface TaskState {
   job: JobState
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -36,6 +36,8 @@
   worker (): runs.Worker | undefined
   /** Runs that hold room on the worker. */
   size (): number
+  /** Those that this life of an entry has ordered. */
+  sizeOf (entry: string): number
   stop (): void
 }
 
@@ -114,9 +116,7 @@
       return finish(run, 'unstarted', reply.reason)
     }
     if (reply.kind === 'started') {
-      if (run.state !== 'ordered') return
-      run.state = 'running'
-      tell(run, { kind: 'started', task: run.task, run: run.run })
+      if (run.state === 'ordered') run.state = 'running'
       return
     }
     log.warn('start-unanswered', { task: run.task, run: run.run })
@@ -285,6 +285,7 @@
     resumed: () => { listedAt = -Infinity },
     worker: () => worker,
     size: () => books.size(),
+    sizeOf: (entry) => [...books.all()].filter((run) => run.entry === entry).length,
     stop: () => {
       stopped = true
       rooms.stop()
--- a/packages/run-agent/src/rooms.ts
+++ b/packages/run-agent/src/rooms.ts
@@ -4,7 +4,7 @@
 /** Time in ms for which room is told to one entry that waits for it before it is told to the next. */
 const HEAD_START_MS = 4
 /** Messages a second that an agent sends to keep the entries up to date; a part of what it may spend on control. */
-const UPDATES_PER_S = 250
+const UPDATES_PER_S = 100
 /** Longest time in ms for which an entry that waits for nothing may be told of a change late. */
 const MAX_UPDATE_MS = 100
 
@@ -55,7 +55,7 @@
   let worker: runs.Worker | undefined
 
   const tell = (entry: Entry): void => {
-    const message: runs.RoomMessage = { kind: 'room', sequence: entry.sequence, ...room() }
+    const message: runs.RoomMessage = { kind: 'room', sequence: entry.sequence, sharers: entries.size, ...room() }
     const text = JSON.stringify(message)
     if (text === entry.told) return
     entry.told = text
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -39,13 +39,8 @@
   /** Absent while the agent knows no worker that it may start on. */
   worker?: runs.Worker
   free: amounts.Amount
-}
-
-/** A run has begun on the worker. */
-export interface StartedMessage {
-  kind: 'started'
-  task: runs.TaskId
-  run: number
+  /** Entries that share the worker. */
+  sharers: number
 }
 
 /** The task has ended on this worker, or was not started there; it runs there no more. */
@@ -61,4 +56,4 @@
   reason?: string
 }
 
-export type FromAgent = RoomMessage | StartedMessage | EndedMessage
+export type FromAgent = RoomMessage | EndedMessage
