Link each agent to four entries

Cause: links grew with entries x agents; each costs a heartbeat every 150 ms and updates of room both ways. With nine entries and 54 workers, 486 links took most of the work, before any traffic as well. Change: an agent ranks the entries by a hash of its own name and theirs and keeps links to the first four that it reaches; it takes the next one after 1 s without a link, and closes a surplus link when it is idle.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -11,6 +11,9 @@
 /** Time in ms after the start in which entries are expected to follow the store on behalf of the agent. */
 const FOLLOW_AFTER_MS = 2000
 
+/** Entries that an agent serves at a time: each entry has a part of the fleet, and links do not grow with its size. */
+const LINKS = 4
+
 export interface Options {
   name: string
   life: string
@@ -59,6 +62,8 @@
     timers,
     log,
     tidies: false,
+    mostLinks: LINKS,
+    isIdle: ({ peer }) => agent.sizeOf(peer.life) === 0,
     // Entries follow the store; where none of them reaches it, agents do, and pass on what they read.
     followsStore: () => timers.monotonic() - startedAt > FOLLOW_AFTER_MS &&
       ![...storeReachable.values()].includes(true),
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -67,7 +67,6 @@
     log,
     zone,
     lapseAfterMs: runAgent.LAPSE_AFTER_MS + STOP_MARGIN_MS,
-    entries: () => 1 + otherEntries().length,
     send: (link, message) => links.send(link, message)
   })
   const receive = (session: sessions.Session, message: messages.Message): void => {
@@ -75,7 +74,6 @@
       case 'room':
         usable.set(session.id, message.worker !== undefined)
         return jobs.receive(session.id, message)
-      case 'started':
       case 'ended':
         return jobs.receive(session.id, message)
       case 'status':
@@ -105,6 +103,8 @@
     timers,
     log,
     tidies: true,
+    mostLinks: Infinity,
+    isIdle: () => false,
     followsStore: () => true,
     onPause: () => {},
     up: ({ id, peer }) => {
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -25,6 +25,10 @@
   log: log.Log
   /** True for a process that removes rows of entries that are gone. */
   tidies: boolean
+  /** Entries to keep links to. */
+  mostLinks: number
+  /** True if a link beyond `mostLinks` can be closed without ending anything. */
+  isIdle (session: sessions.Session): boolean
   /** False while peers that follow the store make that needless here. */
   followsStore (): boolean
   /** The process stood still; its links are closed next. */
@@ -36,7 +40,7 @@
 }
 
 export const create = (options: Options): Member => {
-  const { hello, seeds, store, timers, log, tidies } = options
+  const { hello, seeds, store, timers, log, tidies, mostLinks, isIdle } = options
 
   const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
     log.warn('pause', { gapMs })
@@ -74,7 +78,7 @@
     isNeeded: options.followsStore,
     onChange: (deployment) => peers.broadcast({ kind: 'deployment', deployment })
   })
-  const peers = discovery.create({ links, store, timers, log, seeds, tidies })
+  const peers = discovery.create({ links, store, timers, log, seeds, tidies, name: hello.name, mostLinks, isIdle })
 
   return {
     links,
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -3,6 +3,7 @@
 import type * as sessions from '@mustarddeck/sessions'
 import * as follow from './follow.ts'
 import type * as messages from './messages.ts'
+import * as selections from './selection.ts'
 import type * as stores from './store.ts'
 
 /** Time in ms between reads of the list of entries while none is linked, and while some are. */
@@ -10,6 +11,8 @@
 const SETTLED_MS = 15_000
 /** Time in ms without a link after which the row of an entry is removed from the store. */
 const FORGET_AFTER_MS = 60_000
+/** Time in ms between reviews of which entries to keep links to. */
+const SELECT_MS = 500
 
 /** Finds entries: by the store, by what peers tell, and by the addresses in the settings. */
 export interface Peers {
@@ -32,19 +35,32 @@
   seeds: string[]
   /** True for a process that removes rows of entries that are gone. */
   tidies: boolean
+  /** Name of this process, which decides which entries it links to. */
+  name: string
+  /** Entries to keep links to. */
+  mostLinks: number
+  /** True if a link beyond `mostLinks` can be closed without ending anything. */
+  isIdle (session: sessions.Session): boolean
 }
 
 interface Entry {
+  address: string
+  /** Links to it that are up. */
   linked: number
+  /** Monotonic ms since which it is dialed, or was lost; undefined if it is not dialed. */
+  dialedSince: number | undefined
   /** Monotonic ms at which it was known or linked last. */
   seenAt: number
 }
 
-export const create = ({ links, store, timers, log, seeds, tidies }: Options): Peers => {
+export const create = (options: Options): Peers => {
+  const { links, store, timers, log, seeds, tidies, name, mostLinks, isIdle } = options
+  const selection = selections.create(name, mostLinks)
   const entries = new Map<string, Entry>()
   const up = new Map<number, sessions.Session>()
   let stopped = false
   let cancelRead: clock.Cancellation = () => {}
+  let cancelSelect: clock.Cancellation = () => {}
 
   const broadcast = (message: messages.Message): void => {
     for (const id of up.keys()) links.send(id, message)
@@ -53,10 +69,35 @@
     const before = entries.size
     for (const address of addresses) {
       if (entries.has(address)) continue
-      entries.set(address, { linked: 0, seenAt: timers.monotonic() })
-      links.dial(address)
+      entries.set(address, { address, linked: 0, dialedSince: undefined, seenAt: timers.monotonic() })
     }
-    if (entries.size > before) broadcast({ kind: 'entries', addresses: [...entries.keys()] })
+    if (entries.size === before) return
+    select()
+    broadcast({ kind: 'entries', addresses: [...entries.keys()] })
+  }
+  /** Dials the chosen entries, and lets go of others that are not linked or whose link is idle. */
+  const select = (): void => {
+    const now = timers.monotonic()
+    const candidates = [...entries.values()].map((entry) => ({ ...entry, isLinked: entry.linked > 0 }))
+    const chosen = selection.choose(candidates, now)
+    for (const entry of entries.values()) {
+      if (chosen.has(entry.address)) {
+        entry.dialedSince ??= now
+        links.dial(entry.address)
+      } else if (entry.dialedSince !== undefined) release(entry)
+    }
+  }
+  const release = (entry: Entry): void => {
+    const sessions = [...up.values()].filter(({ peer }) => peer.address === entry.address)
+    if (!sessions.every(isIdle)) return
+    entry.dialedSince = undefined
+    links.forget(entry.address)
+    for (const { id } of sessions) links.close(id, 'linked to other entries')
+  }
+  const selectAgain = (): void => {
+    if (stopped) return
+    select()
+    cancelSelect = timers.after(SELECT_MS, selectAgain)
   }
   const hasLink = (): boolean => [...entries.values()].some(({ linked }) => linked > 0)
 
@@ -82,12 +123,14 @@
   }
   learn(seeds)
   read()
+  cancelSelect = timers.after(SELECT_MS, selectAgain)
 
   const linked = (session: sessions.Session, by: number): void => {
     const entry = entries.get(session.peer.address)
     if (!entry) return
     entry.linked += by
     entry.seenAt = timers.monotonic()
+    if (entry.dialedSince !== undefined) entry.dialedSince = entry.seenAt
   }
   return {
     learn,
@@ -105,6 +148,7 @@
     stop: () => {
       stopped = true
       cancelRead()
+      cancelSelect()
     }
   }
 }
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -56,6 +56,7 @@
   dial (address: string): void
   forget (address: string): void
   send (id: number, message: Message): void
+  close (id: number, reason: string): void
   /** Closes all links at once, such as after a pause of the process. */
   closeAll (reason: string): void
   stop (): void
@@ -248,6 +249,10 @@
       link.flushing = true
       setImmediate(() => { if (link.flushing) flush(link) })
     },
+    close: (id, reason) => {
+      const link = links.get(id)
+      if (link) close(link, reason)
+    },
     closeAll: (reason) => { for (const link of [...links.values()]) close(link, reason) },
     stop: () => {
       stopped = true
