--- a/packages/sessions/src/pause.ts
+++ b/packages/sessions/src/pause.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 
 /** Time in ms between the ticks of the watch. */
-const TICK_MS = 50
+const TICK_MS = 100
 
 /** Tells when the process has stood still, so that what it believes about others is out of date. */
 export interface PauseWatch {
