Place more urgent queues first, and let others give way to them

Cause: jobs were placed and refused by the moment at which they have to start alone, so that in a burst the queue with the shortest tasks, which is the most urgent, was refused and late as often as any: pin-check was the worst served kind. Change: the order is the priority of the queue, then the latest start, at an entry and between entries that want the same room. A new job that does not fit makes less urgent ones give way, which are refused at once; it gives way to others.

--- a/packages/attended/src/admission.ts
+++ b/packages/attended/src/admission.ts
@@ -1,4 +1,4 @@
-import type * as jobs from './jobs.ts'
+import * as jobs from './jobs.ts'
 
 /** Work that waits, and the rate at which an entry gets work done. */
 export interface Backlog {
@@ -10,16 +10,26 @@
 }
 
 /**
- * True if the job and all that wait can still start in time, when the one that has to start first goes first. Refusing
- * the job that breaks this keeps an overload from making all others late.
+ * Returns the jobs that are to be refused so that a new job and all others that wait can start in time, in the order in
+ * which they are placed. The new job gives way to those that are as urgent, and less urgent ones give way to it.
+ * Refusing them keeps an overload from making all late.
  */
-export const isFeasible = (job: jobs.JobState, { waiting, workOf, millicores }: Backlog, now: number): boolean => {
-  const inOrder = [...waiting, job].sort((left, right) => left.latestStart - right.latestStart)
+export const refusals = (
+  added: jobs.JobState, { waiting, workOf, millicores }: Backlog, now: number
+): jobs.JobState[] => {
+  const givesWay: jobs.JobState[] = []
   let work = 0
-  for (const each of inOrder) {
+  for (const job of [...waiting, added].sort(jobs.compareUrgency)) {
     // What has begun or is overdue already cannot be helped by refusing another job.
-    if (work > 0 && each.latestStart > now && work / millicores > each.latestStart - now) return false
-    work += workOf(each)
+    if (work > 0 && job.latestStart > now && work / millicores > job.latestStart - now) {
+      const { priority } = job.job.queue
+      if (priority <= added.job.queue.priority) return [added]
+      if (!jobs.hasBegun(job)) {
+        givesWay.push(job)
+        continue
+      }
+    }
+    work += workOf(job)
   }
-  return true
+  return givesWay
 }
--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -109,6 +109,29 @@
     expect(waiting.map(({ answer }) => answer?.kind)).to.deep.equal(['completed', 'completed'])
   })
 
+  it('lets the less urgent of two queues give way, and refuses what gives way at once', async () => {
+    const { pass, submit } = await setUp()
+    const urgent = { ...QUEUE, objectiveMs: 150 }
+    const other = { ...QUEUE, name: 'other' as attended.QueueName, priority: 1 }
+    const first = [submit({ tasks: 6, queue: other }).result, submit({ tasks: 6, queue: other }).result]
+    const added = submit({ tasks: 6, queue: urgent }).result
+    expect(first.map(({ answer }) => answer?.kind)).to.deep.equal([undefined, 'not-run'])
+    await pass(700)
+    expect([first[0]!.answer?.kind, added.answer?.kind]).to.deep.equal(['completed', 'completed'])
+  })
+
+  it('places the more urgent of two queues first', async () => {
+    const { pass, submit, timers } = await setUp()
+    const other = { ...QUEUE, name: 'other' as attended.QueueName, priority: 1, objectiveMs: 1000 }
+    submit({ tasks: 6 })
+    const late = submit({ tasks: 6, queue: other }).result
+    const early = submit({ tasks: 6, queue: { ...QUEUE, objectiveMs: 2000 } }).result
+    const submittedAt = timers.monotonic()
+    await pass(1000)
+    expect(early.at - submittedAt).to.be.below(450)
+    expect(late.at).to.be.above(early.at)
+  })
+
   // After a restart of everything, callers come back before all agents do.
   it('lets jobs wait for agents that are still to come', async () => {
     const { linkUp, fleet, pass, submit } = await setUp({ linked: false })
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -138,12 +138,12 @@
       place()
     })
   }
-  /** Starts what fits on one agent or on any, the jobs with the earliest latest start first. */
+  /** Starts what fits on one agent or on any, the most urgent jobs first. */
   const place = (only?: fleet.Agent): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
     const candidates = only ? [only] : [...agents.all()].filter(({ free }) => free.millicores > 0)
-    const inOrder = [...waiting].sort((left, right) => left.latestStart - right.latestStart)
+    const inOrder = [...waiting].sort(jobs.compareUrgency)
     for (const job of inOrder) placeJob(job, { zone, now: timers.monotonic(), candidates }, batch)
     for (const [agent, tasks] of batch) sendOrders(agent, tasks)
   }
@@ -187,12 +187,10 @@
 
   const giveUp = (job: jobs.JobState, now: number): void => {
     if (now >= job.patienceEnds - ANSWER_MARGIN_MS) {
-      return hasBegun(job) ? end(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
+      return jobs.hasBegun(job) ? end(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
     }
-    if (now > job.latestStart && !hasBegun(job)) refuse(job, 'overload')
+    if (now > job.latestStart && !jobs.hasBegun(job)) refuse(job, 'overload')
   }
-  const hasBegun = (job: jobs.JobState): boolean =>
-    job.mayHaveStarted || !job.tasks.every(jobs.isUnordered)
   const refuse = (job: jobs.JobState, reason: attended.NotRunReason): void =>
     end(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
@@ -246,9 +244,9 @@
     if (!canEverRun(job)) return refuse(state, 'never-runnable')
     if (drainsBy !== undefined && now + state.chainMs > drainsBy) return refuse(state, 'draining')
     const backlog = { waiting, workOf, millicores: ownShare(job.queue.service) }
-    if (now - latestLinkAt > SETTLING_MS && !admission.isFeasible(state, backlog, now)) {
-      return refuse(state, 'overload')
-    }
+    const refused = now - latestLinkAt > SETTLING_MS ? admission.refusals(state, backlog, now) : []
+    for (const job of refused) refuse(job, 'overload')
+    if (state.ended) return
     waiting.add(state)
     place()
   }
@@ -274,11 +272,11 @@
     },
     state: (key) => {
       const job = byKey.get(key)
-      return job && (hasBegun(job) ? 'running' : 'pending')
+      return job && (jobs.hasBegun(job) ? 'running' : 'pending')
     },
     waiting: (queue) => {
       let count = 0
-      for (const job of byKey.values()) if (job.job.queue.name === queue && !hasBegun(job)) count++
+      for (const job of byKey.values()) if (job.job.queue.name === queue && !jobs.hasBegun(job)) count++
       return count
     },
     agentUp: (link, name, life) => {
--- a/packages/attended/src/jobs.ts
+++ b/packages/attended/src/jobs.ts
@@ -97,6 +97,13 @@
   placed.set(agent, (placed.get(agent) ?? 0) + by)
 }
 
+/** Orders jobs by the priority of their queue, and then by the moment at which they have to start. */
+export const compareUrgency = (left: JobState, right: JobState): number =>
+  left.job.queue.priority - right.job.queue.priority || left.latestStart - right.latestStart
+
+/** True if a task of the job may have started. */
+export const hasBegun = (job: JobState): boolean => job.mayHaveStarted || !job.tasks.every(isUnordered)
+
 /** True for a task that is on no worker and was not done yet. */
 export const isUnordered = ({ phase }: TaskState): boolean => phase === 'waiting' || phase === 'blocked'
 
--- a/packages/attended/src/wants.test.ts
+++ b/packages/attended/src/wants.test.ts
@@ -15,7 +15,7 @@
   const timers = clock.createVirtual()
   const agents = fleet.create()
   const told: Array<[link: number, withinMs: number | undefined]> = []
-  const wants = wanting.create({ timers, send: (link, { withinMs }) => told.push([link, withinMs]) })
+  const wants = wanting.create({ timers, send: (link, { urgency }) => told.push([link, urgency?.withinMs]) })
   const all = services.map((service, index) => {
     const agent = agents.up(index + 1, `agent-${index}`, 'life')
     const worker: runs.Worker = {
--- a/packages/attended/src/wants.ts
+++ b/packages/attended/src/wants.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as runs from '@mustarddeck/runs'
 import type * as fleet from './agents.ts'
-import type * as jobs from './jobs.ts'
+import * as jobs from './jobs.ts'
 
 /** Difference in ms between what an agent was told and what is so now, from which on it is told again. */
 const TOLERANCE_MS = 50
@@ -22,46 +22,60 @@
   forget (agent: fleet.Agent): void
 }
 
+/** What an agent was told: the priority, and the monotonic ms by which a task has to start. */
+interface Told {
+  priority: number
+  by: number
+}
+
 export const create = ({ timers, send }: Options): Wants => {
-  /** Monotonic ms that agents were told, by link. */
-  const told = new Map<number, number>()
+  const told = new Map<number, Told>()
 
-  /** Monotonic ms by which the most urgent task for each service has to start. */
-  const urgencies = (waiting: Iterable<jobs.JobState>): Map<string, number> => {
-    const byService = new Map<string, number>()
-    for (const { job, latestStart } of waiting) {
-      const known = byService.get(job.queue.service)
-      if (known === undefined || latestStart < known) byService.set(job.queue.service, latestStart)
+  /** The most urgent job for each service. */
+  const mostUrgent = (waiting: Iterable<jobs.JobState>): Map<string, jobs.JobState> => {
+    const byService = new Map<string, jobs.JobState>()
+    for (const job of waiting) {
+      const { service } = job.job.queue
+      const known = byService.get(service)
+      if (!known || jobs.compareUrgency(job, known) < 0) byService.set(service, job)
     }
     return byService
   }
-  const tell = ({ link }: fleet.Agent, by: number | undefined): void => {
-    if (by === undefined) {
+  const tell = ({ link }: fleet.Agent, job: jobs.JobState | undefined): void => {
+    if (!job) {
       told.delete(link)
       return send(link, { kind: 'want' })
     }
     const now = timers.monotonic()
-    const withinMs = Math.max(OVERDUE_WITHIN_MS, Math.round(by - now))
-    told.set(link, now + withinMs)
-    send(link, { kind: 'want', withinMs })
+    const { priority } = job.job.queue
+    const withinMs = Math.max(OVERDUE_WITHIN_MS, Math.round(job.latestStart - now))
+    told.set(link, { priority, by: now + withinMs })
+    send(link, { kind: 'want', urgency: { priority, withinMs } })
   }
+  /** True if the agent was told of nothing as urgent, or the time that it was told is over. */
+  const isNews = (known: Told | undefined, { job, latestStart }: jobs.JobState): boolean => {
+    const now = timers.monotonic()
+    if (!known || known.by < now || known.priority > job.queue.priority) return true
+    return known.priority === job.queue.priority &&
+      known.by > Math.max(latestStart, now + OVERDUE_WITHIN_MS) + TOLERANCE_MS
+  }
+  const isExaggerated = (known: Told, { job, latestStart }: jobs.JobState): boolean =>
+    known.priority < job.queue.priority || latestStart > known.by + TOLERANCE_MS
+
   return {
     announce: (agents, waiting) => {
-      const byService = urgencies(waiting)
+      const byService = mostUrgent(waiting)
       if (byService.size === 0) return
-      const now = timers.monotonic()
       for (const agent of agents) {
-        const by = agent.worker && !agent.worker.leaving ? byService.get(agent.worker.service) : undefined
-        if (by === undefined || agent.health.out) continue
-        const known = told.get(agent.link) ?? -Infinity
-        if (known < now || known > Math.max(by, now + OVERDUE_WITHIN_MS) + TOLERANCE_MS) tell(agent, by)
+        const job = agent.worker && !agent.worker.leaving ? byService.get(agent.worker.service) : undefined
+        if (job && !agent.health.out && isNews(told.get(agent.link), job)) tell(agent, job)
       }
     },
     answer: (agent, waiting) => {
       const known = told.get(agent.link)
-      if (known === undefined || agent.free.millicores <= 0) return
-      const by = agent.worker && urgencies(waiting).get(agent.worker.service)
-      if (by === undefined || by > known + TOLERANCE_MS) tell(agent, by)
+      if (!known || agent.free.millicores <= 0) return
+      const job = agent.worker && mostUrgent(waiting).get(agent.worker.service)
+      if (!job || isExaggerated(known, job)) tell(agent, job)
     },
     forget: ({ link }) => { told.delete(link) }
   }
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -266,7 +266,7 @@
     receive: (link, message) => {
       const entry = links.get(link)
       if (entry === undefined) return
-      if (message.kind === 'want') return rooms.wants(link, message.withinMs)
+      if (message.kind === 'want') return rooms.wants(link, message.urgency)
       if (message.kind === 'start') {
         rooms.ordered(link, message.sequence)
         for (const wanted of message.tasks) start(link, message.spec, wanted)
--- a/packages/run-agent/src/rooms.test.ts
+++ b/packages/run-agent/src/rooms.test.ts
@@ -38,8 +38,8 @@
   // Entries that hear of the same room at the same time race for it.
   it('go to the entry with the most urgent task first, then to the next', () => {
     const { free, subject, timers, told } = setUp([1, 2, 3])
-    subject.wants(1, 80)
-    subject.wants(2, 30)
+    subject.wants(1, { priority: 0, withinMs: 80 })
+    subject.wants(2, { priority: 0, withinMs: 30 })
     free(1600)
     expect(told).to.deep.equal([[2, 1600]])
     timers.advance(5)
@@ -48,11 +48,19 @@
     expect(told).to.deep.equal([[2, 1600], [1, 1600], [3, 1600]])
   })
 
+  it('go to the entry with the more urgent queue first, however soon another has to start', () => {
+    const { free, subject, told } = setUp([1, 2])
+    subject.wants(1, { priority: 1, withinMs: 10 })
+    subject.wants(2, { priority: 0, withinMs: 90 })
+    free(1600)
+    expect(told).to.deep.equal([[2, 1600]])
+  })
+
   it('go to the next entry at once when one passes the offer on or is lost', () => {
     const { free, subject, told } = setUp([1, 2, 3])
-    subject.wants(1, 20)
-    subject.wants(2, 30)
-    subject.wants(3, 40)
+    subject.wants(1, { priority: 0, withinMs: 20 })
+    subject.wants(2, { priority: 0, withinMs: 30 })
+    subject.wants(3, { priority: 0, withinMs: 40 })
     free(1600)
     subject.wants(1, undefined)
     subject.down(2)
@@ -61,8 +69,8 @@
 
   it('start again with the most urgent entry when more becomes free', () => {
     const { free, state, subject, timers, told } = setUp([1, 2])
-    subject.wants(1, 50)
-    subject.wants(2, 90)
+    subject.wants(1, { priority: 0, withinMs: 50 })
+    subject.wants(2, { priority: 0, withinMs: 90 })
     free(1600)
     timers.advance(5)
     state.free = 0
@@ -76,7 +84,7 @@
     free(1600)
     timers.advance(SOON_MS)
     told.length = 0
-    subject.wants(1, 10)
+    subject.wants(1, { priority: 0, withinMs: 10 })
     timers.advance(20)
     free(3200)
     expect(told, 'the task is late').to.deep.equal([])
@@ -89,7 +97,7 @@
     free(1600)
     subject.join(1)
     expect(told).to.deep.equal([[1, 1600]])
-    subject.wants(2, 50)
+    subject.wants(2, { priority: 0, withinMs: 50 })
     free(3200)
     subject.join(1)
     expect(told).to.deep.equal([[1, 1600], [2, 1600], [2, 3200]])
--- a/packages/run-agent/src/rooms.ts
+++ b/packages/run-agent/src/rooms.ts
@@ -24,7 +24,7 @@
   down (link: number): void
   /** The entry has sent the start message with this number. */
   ordered (link: number, sequence: number): void
-  wants (link: number, withinMs: number | undefined): void
+  wants (link: number, urgency: runs.Urgency | undefined): void
   /** A run has ended. */
   freed (): void
   /** The free room, or the worker that it is on, may have changed. */
@@ -34,16 +34,25 @@
   stop (): void
 }
 
+/** Priority of the most urgent task that waits at an entry, and the monotonic ms by which it has to start. */
+interface Wants {
+  priority: number
+  by: number
+}
+
 interface Entry {
   link: number
   /** Number of the latest message with orders. */
   sequence: number
   /** What the entry was told last. */
   told: string
-  /** Monotonic ms by which its most urgent task has to start; undefined while none waits. */
-  wantedBy: number | undefined
+  /** Undefined while nothing waits at it. */
+  wants: Wants | undefined
 }
 
+const isMoreUrgent = (left: Wants, right: Wants): boolean =>
+  left.priority === right.priority ? left.by < right.by : left.priority < right.priority
+
 export const create = ({ timers, room, send }: Options): Rooms => {
   const entries = new Map<number, Entry>()
   /** Entries that were offered what is free now. */
@@ -71,8 +80,8 @@
     if (!current.worker || current.free.millicores <= 0) return
     let next: Entry | undefined
     for (const entry of entries.values()) {
-      if (entry.wantedBy === undefined || entry.wantedBy < now || offered.has(entry)) continue
-      if (!next || entry.wantedBy < next.wantedBy!) next = entry
+      if (!entry.wants || entry.wants.by < now || offered.has(entry)) continue
+      if (!next || isMoreUrgent(entry.wants, next.wants!)) next = entry
     }
     if (!next) return
     offered.add(next)
@@ -99,7 +108,7 @@
 
   return {
     up: (link) => {
-      entries.set(link, { link, sequence: 0, told: '', wantedBy: undefined })
+      entries.set(link, { link, sequence: 0, told: '', wants: undefined })
       tellAllNow()
     },
     down: (link) => {
@@ -111,13 +120,13 @@
       const entry = entries.get(link)
       if (entry) entry.sequence = sequence
     },
-    wants: (link, withinMs) => {
+    wants: (link, urgency) => {
       const entry = entries.get(link)
       if (!entry) return
-      entry.wantedBy = withinMs === undefined ? undefined : timers.monotonic() + withinMs
-      if (withinMs !== undefined) offered.delete(entry)
+      entry.wants = urgency && { priority: urgency.priority, by: timers.monotonic() + urgency.withinMs }
+      if (urgency) offered.delete(entry)
       // An entry that wants no more passes the offer on.
-      if (withinMs === undefined ? offered.has(entry) : !cancelOffer) offer()
+      if (urgency ? !cancelOffer : offered.has(entry)) offer()
     },
     freed: () => {
       offered.clear()
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -26,8 +26,15 @@
 /** Tasks wait at the entry for room: the agent tells it of room before others whose work is less urgent. */
 export interface WantMessage {
   kind: 'want'
-  /** Time in ms in which the most urgent of the tasks has to start; absent when none waits any more. */
-  withinMs?: number
+  /** The most urgent of the tasks; absent when none waits any more. */
+  urgency?: Urgency
+}
+
+export interface Urgency {
+  /** Priority of its queue, 0 for the most urgent. */
+  priority: number
+  /** Time in ms in which it has to start. */
+  withinMs: number
 }
 
 export type ToAgent = StartMessage | StopMessage | WantMessage
