Do not say "not run" of a job whose run was overdue

Cause: starts are not confirmed to entries any more, so a run that was stopped as overdue, and that its agent then could not find in a listing, would count as never started; the job could be refused as not run. Change: an overdue run marks its job as one that may have started.

--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -202,6 +202,22 @@
     expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
   })
 
+  // A listing of the worker may have lost the run that was stopped.
+  it('does not say of a job that it has not run when its run was overdue', async () => {
+    const { cut, entry, fleet, pass, submit } = await setUp({ workers: 1, runMs: 100 })
+    fleet[0]!.worker.faults.tasks = 'hang'
+    const { key, result } = submit({ patienceMs: 1500 })
+    await pass(300)
+    cut.add(1)
+    entry.receive(1, { kind: 'room', sequence: 1, sharers: 1, free: { millicores: 0, memoryMb: 0, accelerators: 0 } })
+    await pass(400)
+    entry.receive(1, {
+      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, run: 1, end: 'unstarted', ranMs: 700, reason: 'stopped early'
+    })
+    await pass(800)
+    expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
+  })
+
   it('stops a job whose caller has left', async () => {
     const { fleet, pass, submit } = await setUp({ runMs: 3000 })
     const { abandon } = submit({ tasks: 4 })
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -200,6 +200,8 @@
     log.warn('run-overdue', { task: task.task.id, agent: agent.name, expectedMs: Math.round(expectedMs) })
     judge(task, agent, true, ranMs)
     task.avoid.add(agent.name)
+    // It has most likely run, even if its agent cannot tell any more.
+    task.job.mayHaveStarted = true
     stop(task)
   }
 
