Keep one link between two entries, and tell idle entries less

Counted on four agents and four entries at 30 jobs/s, an agent sent 45 of its 50 messages a second to tell room, 40 of them at intervals to entries that waited for nothing; entries had two links to each other, each with a heartbeat every 150 ms, and `waiting` of an entry with two links was counted twice.

Change: of two entries that dial each other the one with the greater address gives up its link; links between entries have a heartbeat every 450 ms, since no lease depends on them; status is told when it changes and every second; room is told to idle entries up to 15 instead of 40 times a second; a review without a change tells nothing.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -9,8 +9,10 @@
 import type * as messages from './messages.ts'
 import type * as stores from './store.ts'
 
-/** Time in ms between reports of an entry's state to other processes. */
+/** Time in ms between looks at whether the entry's state has changed, of which others are then told. */
 const STATUS_MS = 300
+/** Time in ms after which it is told again, so that a report that was lost is made up for. */
+const STATUS_REPEAT_MS = 1000
 /** Time in ms that a cancellation waits for the other entries. */
 const CANCEL_TIMEOUT_MS = 400
 /** Time in ms before the write of the entry's own row is tried again. */
@@ -58,6 +60,8 @@
   const usable = new Map<number, boolean>()
   const statuses = new Map<number, Record<string, number>>()
   const cancellations = new Map<number, Cancellation>()
+  /** What other processes were told last, and the monotonic ms at which all of them were. */
+  let told = { storeReachable: false, text: '', at: -Infinity }
   let nextRequest = 1
   let draining = false
   let stopped = false
@@ -126,14 +130,22 @@
     timers.after(ANNOUNCE_RETRY_MS, announce)
   }
   const otherEntries = (): sessions.Session[] =>
-    // Two entries that dial each other have two links.
+    // Two entries that dial each other have two links for a moment.
     [...new Map([...peers.links().values()].map((session) => [session.peer.life, session])).values()]
       .filter(({ peer }) => peer.role === 'entry')
   const report = (): void => {
     if (stopped) return
     timers.after(STATUS_MS, report)
-    const waiting = Object.fromEntries(jobs.waiting())
-    peers.broadcast({ kind: 'status', storeReachable: follower.isCurrent(), waiting })
+    const status = {
+      kind: 'status' as const, storeReachable: follower.isCurrent(), waiting: Object.fromEntries(jobs.waiting())
+    }
+    const text = JSON.stringify(status)
+    const now = timers.monotonic()
+    const isDue = status.storeReachable !== told.storeReachable || now - told.at >= STATUS_REPEAT_MS
+    if (isDue) peers.broadcast(status)
+    // Agents have no use for what waits.
+    else if (text !== told.text) for (const { id } of otherEntries()) links.send(id, status)
+    told = { storeReachable: status.storeReachable, text, at: isDue ? now : told.at }
   }
 
   return {
@@ -159,7 +171,7 @@
     },
     waiting: (queue) => {
       let count = jobs.waiting().get(queue) ?? 0
-      for (const waiting of statuses.values()) count += waiting[queue] ?? 0
+      for (const { id } of otherEntries()) count += statuses.get(id)?.[queue] ?? 0
       return count
     },
     drain: (remainingMs) => {
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -58,6 +58,7 @@
     timers,
     log,
     beforeInput: () => pauses.check(),
+    pace: ({ role }) => role === 'entry' && hello.role === 'entry' ? sessions.RELAXED : sessions.PROMPT,
     handler: {
       up: (session) => {
         peers.up(session)
@@ -78,7 +79,7 @@
     isNeeded: options.followsStore,
     onChange: () => spread.changed()
   })
-  const peers = discovery.create({ links, store, timers, log, seeds, tidies, name: hello.name, mostLinks, isIdle })
+  const peers = discovery.create({ links, store, timers, log, seeds, tidies, hello, mostLinks, isIdle })
 
   const spread = spreading.create({
     timers,
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -35,8 +35,8 @@
   seeds: string[]
   /** True for a process that removes rows of entries that are gone. */
   tidies: boolean
-  /** Name of this process, which decides which entries it links to. */
-  name: string
+  /** This process; its name decides which entries it links to. */
+  hello: sessions.Hello
   /** Entries to keep links to. */
   mostLinks: number
   /** True if a link beyond `mostLinks` can be closed without ending anything. */
@@ -54,8 +54,8 @@
 }
 
 export const create = (options: Options): Peers => {
-  const { links, store, timers, log, seeds, tidies, name, mostLinks, isIdle } = options
-  const selection = selections.create(name, mostLinks)
+  const { links, store, timers, log, seeds, tidies, hello, mostLinks, isIdle } = options
+  const selection = selections.create(hello.name, mostLinks)
   const entries = new Map<string, Entry>()
   const up = new Map<number, sessions.Session>()
   let stopped = false
@@ -65,16 +65,20 @@
   const broadcast = (message: messages.Message): void => {
     for (const id of up.keys()) links.send(id, message)
   }
-  const learn = (addresses: string[]): void => {
+  /** Returns true if one of the addresses is new. */
+  const note = (addresses: string[]): boolean => {
     const before = entries.size
     for (const address of addresses) {
       if (entries.has(address)) continue
       entries.set(address, { address, linked: 0, dialedSince: undefined, seenAt: timers.monotonic() })
     }
-    if (entries.size === before) return
+    return entries.size > before
+  }
+  const useNew = (): void => {
     select()
     broadcast({ kind: 'entries', addresses: [...entries.keys()] })
   }
+  const learn = (addresses: string[]): void => { if (note(addresses)) useNew() }
   /** Dials the chosen entries, and lets go of others that are not linked or whose link is idle. */
   const select = (): void => {
     const now = timers.monotonic()
@@ -82,6 +86,8 @@
     const chosen = selection.choose(candidates, now)
     for (const entry of entries.values()) {
       if (chosen.has(entry.address)) {
+        // One that has dialed this process need not be dialed.
+        if (entry.dialedSince === undefined && entry.linked > 0) continue
         entry.dialedSince ??= now
         links.dial(entry.address)
       } else if (entry.dialedSince !== undefined) release(entry)
@@ -94,6 +100,15 @@
     links.forget(entry.address)
     for (const { id } of sessions) links.close(id, 'linked to other entries')
   }
+  /** Of two entries that dial each other at the same time, the one with the greater address gives up its own link. */
+  const dropTwin = ({ peer }: sessions.Session): void => {
+    const twins = [...up.values()].filter((other) => other.peer.life === peer.life)
+    if (twins.length < 2 || hello.address < peer.address) return
+    const entry = entries.get(peer.address)
+    if (entry) entry.dialedSince = undefined
+    links.forget(peer.address)
+    for (const { id, dialed } of twins) if (dialed) links.close(id, 'linked twice')
+  }
   const selectAgain = (): void => {
     if (stopped) return
     select()
@@ -136,9 +151,11 @@
     learn,
     up: (session) => {
       up.set(session.id, session)
-      if (session.peer.address !== '') learn([session.peer.address])
+      const isNew = session.peer.address !== '' && note([session.peer.address])
       linked(session, 1)
+      if (isNew) useNew()
       links.send(session.id, { kind: 'entries', addresses: [...entries.keys()] })
+      dropTwin(session)
     },
     down: (session) => {
       if (up.delete(session.id)) linked(session, -1)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -60,6 +60,8 @@
   let lastSeen = 0
   let listedAt = -Infinity
   let stopped = false
+  /** Whether something could be started at the last review. */
+  let wasReady = false
   let whenEmpty: (() => void) | undefined
 
   const isReady = (): boolean => worker !== undefined && !worker.leaving && whenEmpty === undefined &&
@@ -230,7 +232,9 @@
       if (now > lease.expiredBy() && now - listedAt > QUIET_AFTER_MS) finish(run, 'lapsed', 'lease expired')
       else if (run.state === 'doubtful' || run.state === 'stopping') stopRun(run)
     }
-    rooms.changed()
+    // A worker that falls silent gives no other occasion to tell of it.
+    if (wasReady !== isReady()) rooms.changed()
+    wasReady = isReady()
   }
 
   timers.after(0, listAgain)
--- a/packages/run-agent/src/rooms.ts
+++ b/packages/run-agent/src/rooms.ts
@@ -4,9 +4,9 @@
 /** Time in ms for which room is told to one entry that waits for it before it is told to the next. */
 const HEAD_START_MS = 4
 /** Messages a second that an agent sends to keep the entries up to date; a part of what it may spend on control. */
-const UPDATES_PER_S = 40
+const UPDATES_PER_S = 15
 /** Longest time in ms for which an entry that waits for nothing may be told of a change late. */
-const MAX_UPDATE_MS = 100
+const MAX_UPDATE_MS = 250
 
 export interface Options {
   timers: clock.Timers
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -3,10 +3,18 @@
 import * as msgpackr from 'msgpackr/pack'
 import * as ws from 'ws'
 
-/** Time in ms between frames on a link; a frame without messages is a heartbeat. */
-const HEARTBEAT_MS = 150
-/** Time in ms without a fresh echo after which a process no longer trusts its peer. */
-export const TRUST_MS = 450
+/** How a link is kept. Both of its ends use the same pace. */
+export interface Pace {
+  /** Time in ms between frames; a frame without messages is a heartbeat. */
+  heartbeatMs: number
+  /** Time in ms without a fresh echo after which a process no longer trusts its peer; three heartbeats. */
+  trustMs: number
+}
+
+/** Between processes of which one acts for the other: a loss is noticed in time for the caller's next attempt. */
+export const PROMPT: Pace = { heartbeatMs: 150, trustMs: 450 }
+/** Between processes that only keep each other informed. */
+export const RELAXED: Pace = { heartbeatMs: 450, trustMs: 1350 }
 /** Time in ms by which a timer may fire late, and with it the end of a peer's trust. */
 const TIMER_MARGIN_MS = 25
 /** Time in ms for a connection to be set up; a packet to a machine without power is answered by nobody. */
@@ -34,6 +42,8 @@
 export interface Session {
   readonly id: number
   readonly peer: Hello
+  /** True if this process has dialed the peer, false if it was dialed. */
+  readonly dialed: boolean
 }
 
 export interface Handler<Message> {
@@ -67,6 +77,8 @@
   timers: clock.Timers
   log: log.Log
   handler: Handler<Message>
+  /** Pace of links to the peer; the peer must choose the same one. */
+  pace (peer: Hello): Pace
   /** Called before a frame is handled. */
   beforeInput (): void
 }
@@ -78,6 +90,7 @@
   socket: ws.WebSocket
   peer: Hello | undefined
   address: string | undefined
+  pace: Pace
   /** Own clock at which the peer's latest echo was sent: the peer was heard after that. */
   trustedFrom: number
   /** Monotonic ms of the latest frame. */
@@ -96,13 +109,16 @@
   cancel: clock.Cancellation
 }
 
+const sessionOf = ({ id, address }: Pick<Link<unknown>, 'id' | 'address'>, peer: Hello): Session => ({ id, peer, dialed: address !== undefined })
+
 const isHello = (value: unknown): value is Hello => {
   const hello = value as Hello | undefined
   return typeof hello === 'object' && hello !== null && typeof hello.role === 'string' &&
     typeof hello.name === 'string' && typeof hello.life === 'string' && typeof hello.address === 'string'
 }
 
-export const create = <Message>({ hello, timers, log, handler, beforeInput }: Options<Message>): Sessions<Message> => {
+export const create = <Message>(options: Options<Message>): Sessions<Message> => {
+  const { hello, timers, log, handler, beforeInput } = options
   const packr = new msgpackr.Packr({ useRecords: false, variableMapSize: true, structuredClone: false })
   const links = new Map<number, Link<Message>>()
   const dials = new Map<string, Dial>()
@@ -127,15 +143,15 @@
   }
   /** The next heartbeat, or the moment at which the peer's trust in this side ends. */
   const schedule = (link: Link<Message>): void => {
-    const trustMs = link.trustedFrom + TRUST_MS - timers.monotonic()
+    const trustMs = link.trustedFrom + link.pace.trustMs - timers.monotonic()
     link.cancel()
-    link.cancel = timers.after(Math.max(1, Math.min(HEARTBEAT_MS, trustMs + 1)), () => beat(link))
+    link.cancel = timers.after(Math.max(1, Math.min(link.pace.heartbeatMs, trustMs + 1)), () => beat(link))
   }
   const beat = (link: Link<Message>): void => {
     beforeInput()
     if (link.closed) return
     const now = timers.monotonic()
-    if (now - link.trustedFrom > TRUST_MS) return close(link, link.peer ? 'peer is silent' : 'handshake timeout')
+    if (now - link.trustedFrom > link.pace.trustMs) return close(link, link.peer ? 'peer is silent' : 'handshake timeout')
     if (link.peer) return flush(link)
     schedule(link)
   }
@@ -150,8 +166,8 @@
       const now = timers.monotonic()
       log.info('link-down', { link: link.id, peer: link.peer.name, reason, heardMsAgo: Math.round(now - link.heardAt) })
       // A peer that has closed the link itself trusts it no longer.
-      const trustedUntil = by === 'peer' ? now : link.heardAt + TRUST_MS + TIMER_MARGIN_MS
-      handler.down({ id: link.id, peer: link.peer }, trustedUntil)
+      const trustedUntil = by === 'peer' ? now : link.heardAt + link.pace.trustMs + TIMER_MARGIN_MS
+      handler.down(sessionOf(link, link.peer), trustedUntil)
     }
     const dial = link.address === undefined ? undefined : dials.get(link.address)
     if (dial) retry(dial)
@@ -177,18 +193,20 @@
     if (!link.peer) {
       if (!isHello(content) || content.life === hello.life) return close(link, 'no hello')
       link.peer = content
+      link.pace = options.pace(content)
       link.trustedFrom = link.heardAt
       const dial = link.address === undefined ? undefined : dials.get(link.address)
       if (dial) dial.failures = 0
       log.info('link-up', { link: link.id, peer: content.name, role: content.role, address: content.address })
-      handler.up({ id: link.id, peer: content })
+      handler.up(sessionOf(link, content))
       return flush(link)
     }
     if (!Array.isArray(content) || content.length !== 3) return close(link, 'malformed frame')
     const [sentAt, echo, messages] = content as Frame<Message>
     link.peerClock = sentAt
     link.trustedFrom = Math.max(link.trustedFrom, echo)
-    for (const message of messages) if (!link.closed) handler.message({ id: link.id, peer: link.peer }, message)
+    const session = sessionOf(link, link.peer)
+    for (const message of messages) if (!link.closed) handler.message(session, message)
   }
 
   const add = (socket: ws.WebSocket, address: string | undefined): void => {
@@ -198,7 +216,8 @@
       socket,
       peer: undefined,
       address,
-      trustedFrom: now + CONNECT_TIMEOUT_MS - TRUST_MS,
+      pace: PROMPT,
+      trustedFrom: now + CONNECT_TIMEOUT_MS - PROMPT.trustMs,
       heardAt: now,
       peerClock: 0,
       queue: [],
