Serve metrics on the platform, and bound the log

Change: both programs count what ends and is refused, and serve it at the port that the deploy file names. Lines beyond 200 or 64 KiB a second are left out and counted, routine ones from 70% on; answers without a result are warnings, so that they are kept first.

--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -19,6 +19,7 @@
   const log = logging.create({ level: 'error' })
   const pass = (ms: number): Promise<void> => standIn.advance(timers, ms)
   const cut = new Set<number>()
+  const observed: string[] = []
 
   const fleet = Array.from({ length: workers }, (_, index) => {
     const link = index + 1
@@ -33,7 +34,8 @@
     const toEntry = (message: runs.FromAgent): void => {
       timers.after(LINK_MS, () => { if (!cut.has(link)) entry.receive(link, message) })
     }
-    const agent = runAgent.create({ calls: worker.calls, timers, log, send: (_link, message) => toEntry(message) })
+    const send = (_link: number, message: runs.FromAgent): void => toEntry(message)
+    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {} })
     return { agent, link, worker }
   })
   const entry = attended.create({
@@ -43,7 +45,9 @@
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
     send: (link, message) => {
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
-    }
+    },
+    onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
+    onRefusedOrder: (reason) => observed.push(`order ${reason}`)
   })
   const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
     entry.agentUp(link, worker.worker().id, 'life')
@@ -76,15 +80,17 @@
     entry.submit(job, answer)
     return { ...result, result, abandon: () => entry.abandon(key, answer) }
   }
-  return { cut, entry, fleet, linkUp, pass, site, submit, timers }
+  return { cut, entry, fleet, linkUp, observed, pass, site, submit, timers }
 }
 
 describe('dispatcher of waiting jobs', () => {
   it('answers when all tasks of a job have ended', async () => {
-    const { pass, site, submit } = await setUp()
-    const { result } = submit({ tasks: 5 })
+    const { observed, pass, site, submit } = await setUp()
+    const { key, result } = submit({ tasks: 5 })
     await pass(250)
     expect(result.answer).to.deep.equal({ kind: 'completed' })
+    expect(observed).to.have.length(1)
+    expect(observed[0]).to.match(new RegExp(`^${key} completed 2\\d\\d$`))
     expect([...site.starts.values()]).to.deep.equal([1, 1, 1, 1, 1])
   })
 
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -29,12 +29,17 @@
   /** Longest time in ms that a run may go on after its agent has ceased to act for this entry. */
   lapseAfterMs: number
   send (link: number, message: runs.ToAgent): void
+  /** Called once for each job that ends. */
+  onJobEnd (job: attended.Job, outcome: attended.Outcome, tookMs: number): void
+  /** Called for each order after which the task was not started. */
+  onRefusedOrder (reason: string): void
 }
 
 /** Orders for one agent that leave in one message. */
 type Batch = Map<fleet.Agent, jobs.TaskState[]>
 
-export const create = ({ timers, log, zone, lapseAfterMs, send }: Options): attended.Dispatcher => {
+export const create = (options: Options): attended.Dispatcher => {
+  const { timers, log, zone, lapseAfterMs, send } = options
   const agents = fleet.create()
   const estimates = learning.create()
   const wants = wanting.create({ timers, send })
@@ -54,14 +59,18 @@
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
     for (const task of state.tasks) stop(task)
-    log.info('job-end', {
+    const tookMs = timers.monotonic() - state.arrivedAt
+    // What was not served is kept in the log before what was.
+    const write = outcome.kind === 'not-run' || outcome.kind === 'unknown' || outcome.kind === 'failed' ? log.warn : log.info
+    write('job-end', {
       job: state.job.key,
       queue: state.job.queue.name,
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
-      tookMs: Math.round(timers.monotonic() - state.arrivedAt),
+      tookMs: Math.round(tookMs),
       tasks: state.tasks.length
     })
+    options.onJobEnd(state.job, outcome, tookMs)
     for (const answer of state.answers.splice(0)) answer(outcome)
   }
 
@@ -91,6 +100,7 @@
     settle(task)
     if (message.end === 'unstarted') {
       if (message.reason === 'unwell') judge(task, agent, true, message.ranMs)
+      options.onRefusedOrder(message.reason ?? 'unknown')
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
       if (message.reason !== 'no-room') task.avoid.add(agent.name)
       return
--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -3,6 +3,7 @@
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
 import * as follow from './follow.ts'
+import * as measurements from './measurements.ts'
 import * as members from './member.ts'
 import type * as stores from './store.ts'
 
@@ -22,11 +23,15 @@
   calls: runs.WorkerCalls
   timers: clock.Timers
   log: log.Log
+  /** Lines that were left out of the log, by event. */
+  leftOutLines (): ReadonlyMap<string, number>
 }
 
 /** The agent of one worker: serves the entries that it finds. */
 export interface AgentProcess {
   runs: runAgent.Agent
+  /** Counters, gauges and run times of this process. */
+  readonly measured: Pick<measurements.Measurements<never>, 'export'>
   /** The worker has told about itself. */
   announced (worker: runs.Worker, clockMs: number | undefined): void
   withdrawn (worker: runs.WorkerId): void
@@ -48,13 +53,32 @@
   }
 }
 
-export const create = ({ name, life, seeds, store, calls, timers, log }: Options): AgentProcess => {
+export const create = (options: Options): AgentProcess => {
+  const { name, life, seeds, store, calls, timers, log, leftOutLines } = options
   const storeReachable = new Map<number, boolean>()
   const startedAt = timers.monotonic()
   let kept = ''
   let stopped = false
 
-  const agent = runAgent.create({ calls, timers, log, send: (link, message) => links.send(link, message) })
+  const agent = runAgent.create({
+    calls,
+    timers,
+    log,
+    send: (link, message) => links.send(link, message),
+    onRunEnd: (end, ranMs) => {
+      measured.count('mustarddeck_runs_ended_total', end)
+      measured.time(ranMs, end)
+    }
+  })
+  const measured = measurements.create({
+    counters: { mustarddeck_runs_ended_total: { help: 'Runs that ended, by end', label: 'end' } },
+    gauges: {
+      mustarddeck_links: { help: 'Links to entries that are up', read: () => member.peers.links().size },
+      mustarddeck_runs: { help: 'Runs that hold room on the worker', read: () => agent.size() }
+    },
+    times: { name: 'mustarddeck_run', help: 'Time from order to end of a run', label: 'end' },
+    leftOutLines
+  })
   const member = members.create({
     hello: { role: 'agent', name, life, address: '' },
     seeds,
@@ -102,6 +126,7 @@
 
   return {
     runs: agent,
+    measured,
     announced: (worker, clockMs) => {
       agent.announced(worker, clockMs)
       keep()
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -5,6 +5,7 @@
 import type * as runs from '@mustarddeck/runs'
 import type * as sessions from '@mustarddeck/sessions'
 import type * as deployments from './deployment.ts'
+import * as measurements from './measurements.ts'
 import * as members from './member.ts'
 import type * as messages from './messages.ts'
 import type * as stores from './store.ts'
@@ -30,6 +31,8 @@
   store: stores.Store
   timers: clock.Timers
   log: log.Log
+  /** Lines that were left out of the log, by event. */
+  leftOutLines (): ReadonlyMap<string, number>
 }
 
 /** An entry: takes jobs of callers and places them on the workers of linked agents. */
@@ -44,6 +47,8 @@
   cancel (key: runs.JobKey): Promise<boolean>
   /** Jobs of the queue that wait on any entry. */
   waiting (queue: attended.QueueName): number
+  /** Counters, gauges and response times of this process. */
+  readonly measured: Pick<measurements.Measurements<never>, 'export'>
   /** Takes no job any more that cannot end within `remainingMs`. */
   drain (remainingMs: number): void
   start (): Promise<void>
@@ -55,7 +60,8 @@
   finish (known: boolean): void
 }
 
-export const create = ({ name, life, zone, host, port, seeds, store, timers, log }: Options): Entry => {
+export const create = (options: Options): Entry => {
+  const { name, life, zone, host, port, seeds, store, timers, log, leftOutLines } = options
   const address = `${host}:${port}`
   const usable = new Map<number, boolean>()
   const statuses = new Map<number, Record<string, number>>()
@@ -71,7 +77,13 @@
     log,
     zone,
     lapseAfterMs: runAgent.LAPSE_AFTER_MS + STOP_MARGIN_MS,
-    send: (link, message) => links.send(link, message)
+    send: (link, message) => links.send(link, message),
+    onJobEnd: ({ queue }, outcome, tookMs) => {
+      measured.count('mustarddeck_jobs_ended_total', outcome.kind)
+      if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
+      measured.time(tookMs, queue.name)
+    },
+    onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason)
   })
   const receive = (session: sessions.Session, message: messages.Message): void => {
     switch (message.kind) {
@@ -148,8 +160,37 @@
     told = { storeReachable: status.storeReachable, text, at: isDue ? now : told.at }
   }
 
+  const countLinks = (role: string): number =>
+    [...peers.links().values()].filter(({ peer }) => peer.role === role).length
+  const measured = measurements.create({
+    counters: {
+      mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
+      mustarddeck_refusals_total: { help: 'Answers without a result, by reason', label: 'reason' },
+      mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' }
+    },
+    gauges: {
+      mustarddeck_waiting_jobs: {
+        help: 'Jobs of which nothing has begun', read: () => [...jobs.waiting().values()].reduce((sum, count) => sum + count, 0)
+      },
+      mustarddeck_linked_agents: { help: 'Agents with a link', read: () => countLinks('agent') },
+      mustarddeck_linked_entries: { help: 'Other entries with a link', read: () => countLinks('entry') },
+      mustarddeck_usable_workers: {
+        help: 'Workers on which something can be started', read: () => [...usable.values()].filter(Boolean).length
+      },
+      mustarddeck_configuration_version: {
+        help: 'Version in force; -1 before the first one', read: () => follower.current()?.version ?? -1
+      },
+      mustarddeck_configuration_current: {
+        help: '1 while the store has confirmed the version lately', read: () => follower.isCurrent() ? 1 : 0
+      }
+    },
+    times: { name: 'mustarddeck_job', help: 'Time from arrival to answer', label: 'queue' },
+    leftOutLines
+  })
+
   return {
     jobs,
+    measured,
     deployment: () => follower.current(),
     isCurrent: () => follower.isCurrent(),
     isReady: () => !draining && follower.current() !== undefined && [...usable.values()].includes(true),
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -1,2 +1,3 @@
+export * as budget from './budget.ts'
 export * from './interface.ts'
 export { create, type Destination, type Level, type Settings } from './log.ts'
--- a/packages/log/src/log.test.ts
+++ b/packages/log/src/log.test.ts
@@ -40,4 +40,33 @@
       expect(parsed['end']).to.equal('end')
     }), { seed: 1 })
   })
+
+  describe('with a budget', () => {
+    const setUp = (bounds: log.budget.Bounds) => {
+      let now = 0
+      const budget = log.budget.create(bounds, () => now)
+      return { budget, ...capture({ budget }), pass: (ms: number) => { now += ms } }
+    }
+    const count = (lines: string[], event: string): number =>
+      lines.filter((line) => logfmt.parse(line.trim())['event'] === event).length
+
+    it('writes no more lines a second than it may, and warnings before routine lines', () => {
+      const { budget, lines, logger, pass } = setUp({ linesPerS: 200, bytesPerS: 1e6 })
+      for (let index = 0; index < 500; index++) logger.with({ index }).info('order')
+      for (let index = 0; index < 500; index++) logger.warn('refusal')
+      expect([lines.length, count(lines, 'order'), count(lines, 'refusal')]).to.deep.equal([200, 140, 60])
+      pass(1000)
+      logger.info('order')
+      const told = logfmt.parse(lines[200]!.trim())
+      expect([told['event'], told['order'], told['refusal']]).to.deep.equal(['lines-left-out', '360', '440'])
+      expect([...budget.leftOut()]).to.deep.equal([['order', 360], ['refusal', 440]])
+      expect([lines.length, count(lines, 'order')]).to.deep.equal([202, 141])
+    })
+
+    it('counts bytes, so that long values cannot fill the log', () => {
+      const { lines, logger } = setUp({ linesPerS: 1000, bytesPerS: 10_000 })
+      for (let index = 0; index < 200; index++) logger.error('input', { text: 'x'.repeat(400) })
+      expect(lines.join('').length).to.be.within(9000, 11_000)
+    })
+  })
 })
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -1,5 +1,6 @@
 import logfmt from 'logfmt'
 import * as pino from 'pino'
+import * as budgets from './budget.ts'
 import type * as log from './interface.ts'
 
 export type Level = 'debug' | 'info' | 'warn' | 'error'
@@ -17,6 +18,8 @@
   secrets?: string[]
   /** Standard output by default. */
   destination?: Destination
+  /** Lines beyond it are left out and counted, routine ones first; no bound by default. */
+  budget?: budgets.Budget
 }
 
 const CENSOR = '[redacted]'
@@ -72,7 +75,9 @@
   const format = (json: string): void => {
     const fields = JSON.parse(json) as Record<string, unknown>
     for (const [name, value] of Object.entries(fields)) fields[name] = clean(value)
-    destination.write(`${logfmt.stringify(fields)}\n`)
+    const line = `${logfmt.stringify(fields)}\n`
+    settings.budget?.spend(line.length)
+    destination.write(line)
   }
   const redact = (value: log.Field): log.Field => typeof value === 'string'
     ? secrets.reduce((text, secret) => text.replaceAll(secret, CENSOR), value)
@@ -81,9 +86,19 @@
     ? fields
     : Object.fromEntries(Object.entries(fields).map(([name, value]) => [name, redact(value)]))
 
+  const mayWrite = (level: Level, event: string): boolean => {
+    const { budget } = settings
+    if (!budget) return true
+    const leftOut = budget.takeLeftOut()
+    if (leftOut && budget.allows('lines-left-out', false)) {
+      base.warn({ event: 'lines-left-out', ...Object.fromEntries(leftOut) })
+    }
+    return budget.allows(event, level === 'info' || level === 'debug')
+  }
   const wrap = (logger: pino.Logger): log.Log => {
     const write = (level: Level) => (event: string, fields: Record<string, log.Field> = {}): void => {
-      if (logger.isLevelEnabled(level)) logger[level](redactAll({ event, ...fields }))
+      if (!logger.isLevelEnabled(level) || !mayWrite(level, event)) return
+      logger[level](redactAll({ event, ...fields }))
     }
     return {
       debug: write('debug'),
@@ -100,6 +115,6 @@
     formatters: { level: (level) => ({ level }) },
     redact: { paths: SECRET_FIELDS, censor: CENSOR }
   }
-  const root = wrap(pino.pino(options, { write: format }))
-  return settings.fields ? root.with(settings.fields) : root
+  const base = pino.pino(options, { write: format }).child(redactAll(settings.fields ?? {}))
+  return wrap(base)
 }
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -21,9 +21,16 @@
     timers
   })
   const told: runs.FromAgent[] = []
+  const runEnds: runs.RunEnd[] = []
   const log = logging.create({ level: 'error' })
   const startAgent = () => {
-    const agent = agents.create({ calls: worker.calls, timers, log, send: (_link, message) => told.push(message) })
+    const agent = agents.create({
+      calls: worker.calls,
+      timers,
+      log,
+      send: (_link, message) => told.push(message),
+      onRunEnd: (end) => runEnds.push(end)
+    })
     agent.linkUp(LINK, 'entry-1')
     agent.announced(worker.worker(), undefined)
     return agent
@@ -40,17 +47,18 @@
   })
   const ends = () => told.flatMap((message) => message.kind === 'ended' ? [[message.task, message.end, message.reason]] : [])
   const room = () => told.findLast((message) => message.kind === 'room')
-  return { agent, ends, order, pass, room, site, startAgent, told, worker }
+  return { agent, ends, order, pass, room, runEnds, site, startAgent, told, worker }
 }
 
 describe('agent of a worker', () => {
   it('starts what fits, refuses the rest at once, and tells each end', async () => {
-    const { ends, order, pass, room, site } = await setUp()
+    const { ends, order, pass, room, runEnds, site } = await setUp()
     order(0, 1, 2, 3)
     await pass(20)
     expect(ends()).to.deep.equal([[task(3), 'unstarted', 'no-room']])
     await pass(300)
     expect(ends().slice(1).map(([, end]) => end)).to.deep.equal(['done', 'done', 'done'])
+    expect(runEnds).to.deep.equal(['done', 'done', 'done'])
     expect(room()?.free.millicores).to.equal(4800)
     expect(site.broken).to.deep.equal([])
   })
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -46,9 +46,11 @@
   timers: clock.Timers
   log: log.Log
   send (link: number, message: runs.FromAgent): void
+  /** Called once for each run that held room. */
+  onRunEnd (end: runs.RunEnd, ranMs: number): void
 }
 
-export const create = ({ calls, timers, log, send }: Options): Agent => {
+export const create = ({ calls, timers, log, send, onRunEnd }: Options): Agent => {
   const books = accounts.create()
   const lease = leases.create(timers)
   const token = leases.createToken(timers)
@@ -85,6 +87,7 @@
     if (books.get(run.task) !== run) return
     books.remove(run)
     const ranMs = Math.round(timers.monotonic() - run.orderedAt)
+    onRunEnd(end, ranMs)
     log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason })
     rooms.freed()
     tell(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
