Answer a cancellation as unconfirmed while another entry is silent

Cause: a cancellation that another entry did not answer within 400 ms was answered 410, no such job, though that entry may have the job.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -35,6 +35,9 @@
   leftOutLines (): ReadonlyMap<string, number>
 }
 
+/** `unknown-job`: no entry has it. `unconfirmed`: none that answered has it, and not all have answered. */
+export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unconfirmed'
+
 /** An entry: takes jobs of callers and places them on the workers of linked agents. */
 export interface Entry {
   jobs: attended.Dispatcher
@@ -43,8 +46,10 @@
   isCurrent (): boolean
   /** True if the entry can serve callers. */
   isReady (): boolean
-  /** Cancels a job on whichever entry has it; false if none knows it. */
-  cancel (key: runs.JobKey): Promise<boolean>
+  /** Cancels a job on whichever entry has it. */
+  cancel (key: runs.JobKey): Promise<CancelOutcome>
+  /** Other entries with a link. */
+  linkedEntries (): number
   /** Jobs of the queue that wait on any entry. */
   waiting (queue: attended.QueueName): number
   /** Counters, gauges and response times of this process. */
@@ -57,7 +62,7 @@
 
 interface Cancellation {
   open: number
-  finish (known: boolean): void
+  finish (outcome: CancelOutcome): void
 }
 
 export const create = (options: Options): Entry => {
@@ -109,7 +114,8 @@
     const cancellation = cancellations.get(request)
     if (!cancellation) return
     cancellation.open--
-    if (known || cancellation.open === 0) cancellation.finish(known)
+    if (known) cancellation.finish('cancelled')
+    else if (cancellation.open === 0) cancellation.finish('unknown-job')
   }
 
   const member = members.create({
@@ -160,8 +166,6 @@
     told = { storeReachable: status.storeReachable, text, at: isDue ? now : told.at }
   }
 
-  const countLinks = (role: string): number =>
-    [...peers.links().values()].filter(({ peer }) => peer.role === role).length
   const measured = measurements.create({
     counters: {
       mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
@@ -172,8 +176,11 @@
       mustarddeck_waiting_jobs: {
         help: 'Jobs of which nothing has begun', read: () => [...jobs.waiting().values()].reduce((sum, count) => sum + count, 0)
       },
-      mustarddeck_linked_agents: { help: 'Agents with a link', read: () => countLinks('agent') },
-      mustarddeck_linked_entries: { help: 'Other entries with a link', read: () => countLinks('entry') },
+      mustarddeck_linked_agents: {
+        help: 'Agents with a link',
+        read: () => [...peers.links().values()].filter(({ peer }) => peer.role === 'agent').length
+      },
+      mustarddeck_linked_entries: { help: 'Other entries with a link', read: () => otherEntries().length },
       mustarddeck_usable_workers: {
         help: 'Workers on which something can be started', read: () => [...usable.values()].filter(Boolean).length
       },
@@ -195,21 +202,23 @@
     isCurrent: () => follower.isCurrent(),
     isReady: () => !draining && follower.current() !== undefined && [...usable.values()].includes(true),
     cancel: (key) => {
-      if (jobs.cancel(key)) return Promise.resolve(true)
+      if (jobs.cancel(key)) return Promise.resolve('cancelled')
       const others = otherEntries()
-      if (others.length === 0) return Promise.resolve(false)
+      if (others.length === 0) return Promise.resolve('unknown-job')
       return new Promise((resolve) => {
         const request = nextRequest++
-        const finish = (known: boolean): void => {
+        const finish = (outcome: CancelOutcome): void => {
           cancellations.delete(request)
           cancelTimer()
-          resolve(known)
+          if (outcome === 'unconfirmed') log.warn('cancel-unconfirmed', { job: key })
+          resolve(outcome)
         }
-        const cancelTimer = timers.after(CANCEL_TIMEOUT_MS, () => finish(false))
+        const cancelTimer = timers.after(CANCEL_TIMEOUT_MS, () => finish('unconfirmed'))
         cancellations.set(request, { open: others.length, finish })
         for (const { id } of others) links.send(id, { kind: 'cancel', request, key })
       })
     },
+    linkedEntries: () => otherEntries().length,
     waiting: (queue) => {
       let count = jobs.waiting().get(queue) ?? 0
       for (const { id } of otherEntries()) count += statuses.get(id)?.[queue] ?? 0
