Let an operator see what runs on the platform, and check a settings file

Cause: status and check of the product work against the local deployment only.

Change: mustarddeck status asks the store which processes there are and each of them for its metrics; check names what is missing from a settings file. Both are in a bundle that the processes do not load.

--- /dev/null
+++ b/packages/fleet/src/status.ts
@@ -0,0 +1,57 @@
+import type * as runs from '@mustarddeck/runs'
+import type * as errors from '@mustarddeck/errors'
+import type * as stores from './store.ts'
+
+export interface Options {
+  store: stores.Store
+  /** Returns the metrics text of the process on the host, or undefined without an answer. */
+  metricsOf (host: string): Promise<string | undefined>
+}
+
+/** What a process says of itself; `values` are metrics without labels, by name, and undefined without an answer. */
+export interface ProcessStatus {
+  role: 'entry' | 'agent'
+  host: string
+  values: Map<string, number> | undefined
+}
+
+/** A worker as its agent has kept it in the store. */
+export interface WorkerStatus {
+  agent: string
+  worker: Partial<runs.Worker>
+}
+
+export interface Status {
+  processes: ProcessStatus[]
+  workers: WorkerStatus[]
+}
+
+const SAMPLE = /^([a-z_]+) (\S+)$/gm
+
+const parseMetrics = (text: string): Map<string, number> =>
+  new Map([...text.matchAll(SAMPLE)].map(([, name, value]) => [name!, Number(value)]))
+
+const parseWorker = (text: string): Partial<runs.Worker> => {
+  try {
+    return JSON.parse(text) as Partial<runs.Worker>
+  } catch {
+    return {}
+  }
+}
+
+/** Asks the store which processes there are, and then each of them. */
+export const collect = async ({ store, metricsOf }: Options): Promise<errors.Result<Status, stores.StoreError>> => {
+  const [entries, workers] = await Promise.all([store.rows('entries'), store.rows('workers')])
+  if (entries.kind === 'error') return entries
+  if (workers.kind === 'error') return workers
+  const ask = async (role: 'entry' | 'agent', host: string): Promise<ProcessStatus> => {
+    const text = await metricsOf(host)
+    return { role, host, values: text === undefined ? undefined : parseMetrics(text) }
+  }
+  const processes = await Promise.all([
+    ...entries.value.map(({ value }) => ask('entry', value.split(':')[0]!)),
+    ...workers.value.map(({ key }) => ask('agent', key))
+  ])
+  const known = workers.value.map(({ key, value }) => ({ agent: key, worker: parseWorker(value) }))
+  return { kind: 'ok', value: { processes, workers: known } }
+}
--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -7,7 +7,8 @@
 import * as bundling from './bundle.ts'
 
 // Builds target/mustarddeck.cjs, which starts the processes on the users' platform, from one bundle. The bundle comes
-// with its compiled form, since a process that starts again after a failure is waited for.
+// with its compiled form, since a process that starts again after a failure is waited for. The operator's commands are
+// in a bundle of their own, which the processes do not load.
 
 const root = url.fileURLToPath(new URL('..', import.meta.url))
 const target = path.join(root, 'target')
@@ -16,6 +17,11 @@
 
 /** Runs the bundle as a CommonJS module; a compiled form of another version of Node is ignored by it. */
 const LOADER = `'use strict'
+if (process.argv[2] !== 'entry' && process.argv[2] !== 'agent') {
+  require('./operator.cjs').run(process.argv.slice(2), { line: (text) => console.log(text) })
+    .then((code) => { process.exitCode = code })
+  return
+}
 const fs = require('node:fs')
 const path = require('node:path')
 const vm = require('node:vm')
@@ -31,6 +37,11 @@
   outfile: bundle,
   ...bundling.options
 })
+await esbuild.build({
+  entryPoints: [path.join(root, 'platform/src/operator.ts')],
+  outfile: path.join(target, 'operator.cjs'),
+  ...bundling.options
+})
 const source = `(function (require, module, exports, __filename, __dirname) {${fs.readFileSync(bundle, 'utf8')}\n})`
 fs.writeFileSync(bundle, source)
 const script = new vm.Script(source, { filename: bundle })
