Answer what is left before an entry leaves

Change: what has not ended at that moment is answered: as never run if nothing of it has begun, else as unknown, and its tasks are stopped.

--- a/packages/attended/src/dispatcher.test.ts
+++ b/packages/attended/src/dispatcher.test.ts
@@ -255,6 +255,20 @@
     expect(result.at - submittedAt).to.be.below(1000)
   })
 
+  // A caller whose connection just ends cannot tell whether its job has run.
+  it('answers every job before it leaves, and stops what runs', async () => {
+    const { entry, pass, site, submit } = await setUp({ workers: 1, slots: 1, runMs: 2000 })
+    const queue = { ...QUEUE, objectiveMs: 5000 }
+    const [running, waiting] = [submit().result, submit({ queue }).result]
+    await pass(50)
+    entry.leave()
+    expect(running.answer).to.deep.equal({ kind: 'unknown', reason: 'leaving' })
+    expect(waiting.answer).to.deep.include({ kind: 'not-run', reason: 'draining' })
+    expect(submit().result.answer).to.deep.include({ kind: 'not-run', reason: 'draining' })
+    await pass(50)
+    expect(site.running.size).to.equal(0)
+  })
+
   it('refuses what cannot end before the entry leaves', async () => {
     const { entry, submit } = await setUp({ runMs: 2000 })
     entry.drain(500)
--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -320,6 +320,13 @@
       onEnded(agent, message)
     },
     drain: (remainingMs) => { drainsBy = timers.monotonic() + remainingMs },
+    leave: () => {
+      drainsBy = -Infinity
+      for (const job of [...byKey.values()]) {
+        if (jobs.hasBegun(job)) end(job, { kind: 'unknown', reason: 'leaving' })
+        else refuse(job, 'draining')
+      }
+    },
     stop: () => cancelReview()
   }
 
--- a/packages/attended/src/interface.ts
+++ b/packages/attended/src/interface.ts
@@ -48,7 +48,7 @@
 }
 
 export type NotRunReason = 'overload' | 'never-runnable' | 'draining'
-export type UnknownReason = 'patience' | 'caller-gone'
+export type UnknownReason = 'patience' | 'caller-gone' | 'leaving'
 
 /** How a job ended. `not-run` is true for good: no task of it has started or will. */
 export type Outcome =
@@ -77,6 +77,8 @@
   receive (link: number, message: runs.FromAgent): void
   /** From now on new jobs are refused unless they can end within `remainingMs`. */
   drain (remainingMs: number): void
+  /** Answers and ends every job, and refuses what comes later. */
+  leave (): void
   /** Ends the reviews of waiting and lost tasks; no answer follows. */
   stop (): void
 }
