--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import * as queueing from './queues.ts'
 import * as teamQuotas from './quotas.ts'
 import * as reporting from './reports.ts'
+import * as reserving from './reserves.ts'
 
 interface Running {
   host: workers.Host
@@ -30,9 +31,6 @@
 /** Longest wait in ms of a job without an own limit, as a multiple of its class's target. */
 const MAX_WAIT_FACTOR = 10
 
-/** Bound of all reserves, as a share of slots, against a type that floods. */
-const MAX_FLOOD_RESERVE = 0.02
-
 /** Longest wait in ms for the entry's own slots without asking for more, whatever the class's target. */
 const MAX_REPORT_WAIT_MS = 8000
 
@@ -51,12 +49,12 @@
   private readonly quotas: teamQuotas.Quotas
   private readonly admission: admissions.Admission
   private readonly floods: flood.Floods
+  private readonly reserves: reserving.Reserves
   private readonly reporter: reporting.Reports
   private readonly jobs = new Map<types.JobId, queueing.Job>()
   private readonly running = new Map<string, Running>()
   /** Jobs by the time at which they are overdue; those that started or were withdrawn are skipped when found. */
   private readonly due = new TinyQueue<queueing.Job>([], (left, right) => left.dueAt - right.dueAt)
-  private rules: types.Rules = { version: 0, taskTypes: [], priorityClasses: [], teams: [] }
   private classes = new Map<number, types.PriorityClass>()
   private teams = new Set<types.TeamName>()
   /** Time in ms of the latest call of `next`. */
@@ -75,6 +73,13 @@
     const parts = { hosts: this.hosts, queues: this.queues, quotas: this.quotas, capacity: () => this.capacity() }
     this.admission = admissions.create(parts)
     this.floods = flood.create(this.queues)
+    this.reserves = reserving.create({
+      queues: this.queues,
+      policy,
+      capacity: () => this.capacity(),
+      targetWait: (level) => this.targetWait(level),
+      isPressed: () => this.isPressed()
+    })
     this.reporter = reporting.create({
       ...parts,
       waiting: () => this.waitingByLevel(),
@@ -86,7 +91,7 @@
   }
 
   override configure (rules: types.Rules): void {
-    this.rules = rules
+    this.reserves.configure(rules)
     this.classes = new Map(rules.priorityClasses.map((priorityClass) => [priorityClass.rank, priorityClass]))
     this.teams = new Set(rules.teams.map((team) => team.name))
     this.queues.configure(rules)
@@ -119,7 +124,7 @@
     const host = this.hosts.get(link)
     if (flood) this.pressedUntil = this.time + PRESSED_MS
     if (!host) return 0
-    const spare = this.hosts.unused() - this.reserveAgainstOthers()
+    const spare = this.hosts.unused() - this.reserves.kept()
     const count = Math.max(0, Math.min(slots, host.granted, spare))
     this.hosts.grant(host, -count)
     return count
@@ -147,7 +152,7 @@
     if (this.hosts.unused() === 0 || this.queues.active.size === 0) return undefined
     const lowest = this.queues.levels() - 1
     for (let level = 0; level <= lowest; level++) {
-      if (this.hosts.unused() <= this.reservedFrom(level)) return undefined
+      if (this.hosts.unused() <= this.reserves.against(level)) return undefined
       const dispatch = this.nextOf(level, now)
       if (dispatch) return dispatch
     }
@@ -251,42 +256,11 @@
     return undefined
   }
 
-  /** Share of slots that is reserved for classes more urgent than the level. */
-  private reserveShare (level: number): number {
-    const flooding = level === this.queues.levels() - 1
-    let share = 0
-    for (const { rank, reserve } of this.rules.priorityClasses) if (rank < level || flooding) share += reserve
-    return share
-  }
-
-  /**
-   * Unused slots that work of the level leaves to more urgent classes. They shrink as that work waits longer, so that a
-   * reserve never idles beside a lasting backlog. A flood is one from the start, and would
-   * take what other work left.
-   */
-  private reservedFrom (level: number): number {
-    if (!this.policy.reserves || level === 0) return 0
-    const share = this.reserveShare(level)
-    if (share === 0) return 0
-    if (this.isPressed()) return Math.floor(Math.min(share, MAX_FLOOD_RESERVE) * this.capacity())
-    let work = 0
-    for (const type of this.queues.active) if (type.level <= level) work += type.waiting * type.runTimes.mean()
-    const wait = work / this.capacity() / this.targetWait(level) / this.policy.reserveWait
-    return Math.round(share * this.capacity() * Math.max(0, 1 - wait))
-  }
-
   /** True while a flood takes all slots that other work leaves, through this entry or another one. */
   private isPressed (): boolean {
     return this.floods.count() > 0 || this.time < this.pressedUntil
   }
 
-  /** Unused slots that the entry does not give back to others. */
-  private reserveAgainstOthers (): number {
-    if (!this.policy.reserves) return 0
-    const share = this.reserveShare(this.queues.levels() - 1)
-    return Math.floor(this.capacity() * (this.isPressed() ? Math.min(share, MAX_FLOOD_RESERVE) : share / 2))
-  }
-
   private nextOf (level: number, now: number): placement.Dispatch | undefined {
     const skip = new Set<unknown>()
     const types = [...this.queues.active].filter((type) => type.level === level)
