--- a/packages/attended/src/dispatcher.ts
+++ b/packages/attended/src/dispatcher.ts
@@ -20,6 +20,8 @@
 const SETTLING_MS = 300
 /** Time in ms before the end of a caller's patience at which its answer is sent, so that it still arrives. */
 const ANSWER_MARGIN_MS = 40
+/** Tasks that one line names; the log cuts longer values. */
+const MAX_LOGGED_TASKS = 16
 
 export interface Options {
   timers: clock.Timers
@@ -189,8 +191,9 @@
     for (const [spec, group] of bySpec) {
       const wanted = group.map(({ task, orders }) => ({ task: task.id, run: orders, amount: task.amount }))
       send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: wanted })
-      for (const { task } of group) {
-        log.info('order', { task: task.id, agent: agent.name, freeMillicores: agent.free.millicores })
+      for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
+        const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
+        log.info('order', { tasks: ids, agent: agent.name, freeMillicores: agent.free.millicores })
       }
     }
   }
