--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -4,6 +4,7 @@
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
 import type * as sessions from '@mustarddeck/sessions'
+import * as cancellations from './cancellations.ts'
 import type * as deployments from './deployment.ts'
 import * as measurements from './measurements.ts'
 import * as members from './member.ts'
@@ -14,8 +15,6 @@
 const STATUS_MS = 300
 /** Time in ms after which it is told again, so that a report that was lost is made up for. */
 const STATUS_REPEAT_MS = 1000
-/** Time in ms that a cancellation waits for the other entries. */
-const CANCEL_TIMEOUT_MS = 400
 /** Time in ms before the write of the entry's own row is tried again. */
 const ANNOUNCE_RETRY_MS = 300
 /** Margin in ms for a stop that an agent orders when it loses its entry. */
@@ -35,9 +34,6 @@
   leftOutLines (): ReadonlyMap<string, number>
 }
 
-/** `unknown-job`: no entry has it. `unconfirmed`: none that answered has it, and not all have answered. */
-export type CancelOutcome = 'cancelled' | 'unknown-job' | 'unconfirmed'
-
 /** An entry: takes jobs of callers and places them on the workers of linked agents. */
 export interface Entry {
   jobs: attended.Dispatcher
@@ -47,7 +43,7 @@
   /** True if the entry can serve callers. */
   isReady (): boolean
   /** Cancels a job on whichever entry has it. */
-  cancel (key: runs.JobKey): Promise<CancelOutcome>
+  cancel (key: runs.JobKey): Promise<cancellations.CancelOutcome>
   /** Other entries with a link. */
   linkedEntries (): number
   /** Jobs of the queue that wait on any entry. */
@@ -60,20 +56,13 @@
   stop (): void
 }
 
-interface Cancellation {
-  open: number
-  finish (outcome: CancelOutcome): void
-}
-
 export const create = (options: Options): Entry => {
   const { name, life, zone, host, port, seeds, store, timers, log, leftOutLines } = options
   const address = `${host}:${port}`
   const usable = new Map<number, boolean>()
   const statuses = new Map<number, Record<string, number>>()
-  const cancellations = new Map<number, Cancellation>()
   /** What other processes were told last, and the monotonic ms at which all of them were. */
   let told = { storeReachable: false, text: '', at: -Infinity }
-  let nextRequest = 1
   let draining = false
   let stopped = false
 
@@ -105,19 +94,11 @@
           kind: 'cancel-reply', request: message.request, known: jobs.cancel(message.key)
         })
       case 'cancel-reply':
-        return onCancelReply(message.request, message.known)
+        return cancelling.onReply(message.request, message.known)
       default:
         log.warn('message-unexpected', { kind: message.kind, peer: session.peer.name })
     }
   }
-  const onCancelReply = (request: number, known: boolean): void => {
-    const cancellation = cancellations.get(request)
-    if (!cancellation) return
-    cancellation.open--
-    if (known) cancellation.finish('cancelled')
-    else if (cancellation.open === 0) cancellation.finish('unknown-job')
-  }
-
   const member = members.create({
     hello: { role: 'entry', name, life, address },
     seeds,
@@ -151,6 +132,12 @@
     // Two entries that dial each other have two links for a moment.
     [...new Map([...peers.links().values()].map((session) => [session.peer.life, session])).values()]
       .filter(({ peer }) => peer.role === 'entry')
+  const cancelling = cancellations.create({
+    timers,
+    log,
+    send: (link, message) => links.send(link, message),
+    others: () => otherEntries().map(({ id }) => id)
+  })
   const report = (): void => {
     if (stopped) return
     timers.after(STATUS_MS, report)
@@ -201,23 +188,7 @@
     deployment: () => follower.current(),
     isCurrent: () => follower.isCurrent(),
     isReady: () => !draining && follower.current() !== undefined && [...usable.values()].includes(true),
-    cancel: (key) => {
-      if (jobs.cancel(key)) return Promise.resolve('cancelled')
-      const others = otherEntries()
-      if (others.length === 0) return Promise.resolve('unknown-job')
-      return new Promise((resolve) => {
-        const request = nextRequest++
-        const finish = (outcome: CancelOutcome): void => {
-          cancellations.delete(request)
-          cancelTimer()
-          if (outcome === 'unconfirmed') log.warn('cancel-unconfirmed', { job: key })
-          resolve(outcome)
-        }
-        const cancelTimer = timers.after(CANCEL_TIMEOUT_MS, () => finish('unconfirmed'))
-        cancellations.set(request, { open: others.length, finish })
-        for (const { id } of others) links.send(id, { kind: 'cancel', request, key })
-      })
-    },
+    cancel: (key) => jobs.cancel(key) ? Promise.resolve('cancelled') : cancelling.ask(key),
     linkedEntries: () => otherEntries().length,
     waiting: (queue) => {
       let count = jobs.waiting().get(queue) ?? 0
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 export * from './deployment.ts'
 export * from './store.ts'
+export type { CancelOutcome } from './cancellations.ts'
 export * as entry from './entry.ts'
 export * as agent from './agent.ts'
 export * as measurements from './measurements.ts'
