Give the capacity measurements of the tests time on a busy machine

Traced: alone it takes 21 s (55 s of processor time on several threads); beside 18 busy loops on 8 cores the same commit failed in the same way.

Change: the limit, which only ends a run that hangs, is 180 s. No bound of a check is changed.

Measured: beside 18 busy loops the hook now ends, and the check of task starts fails there (108.7 us instead of below 100): it times work on cores that it shares with the loops.

--- a/packages/capacity/src/capacity.test.ts
+++ b/packages/capacity/src/capacity.test.ts
@@ -6,7 +6,8 @@
 import * as series from './series.ts'
 import { regionAgents, target } from './targets.ts'
 
-const LIMIT_MS = 60_000
+/** Ends a run that hangs; the measurements take 55 s of processor time, also beside other busy processes. */
+const LIMIT_MS = 180_000
 /** Largest growth of a figure that is to stay in proportion; quadratic growth has exponent 2. */
 const PROPORTIONAL = 1.6
 /** Least share of the variance that the line explains, for figures that are counted and not timed. */
