--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -6,6 +6,7 @@
 import * as measurements from './measurements.ts'
 import * as members from './member.ts'
 import type * as stores from './store.ts'
+import * as workerRows from './worker-row.ts'
 
 /** Time in ms before the write of the worker's row is tried again. */
 const KEEP_RETRY_MS = 500
@@ -40,19 +41,6 @@
   stop (): void
 }
 
-/** Returns undefined for a text that this product has not written. */
-const parseWorker = (text: string): runs.Worker | undefined => {
-  try {
-    const worker = JSON.parse(text) as runs.Worker
-    return typeof worker.id === 'string' && typeof worker.bornMs === 'number' && Array.isArray(worker.labels) &&
-      typeof worker.capacity.millicores === 'number' && typeof worker.capacity.memoryMb === 'number'
-      ? worker
-      : undefined
-  } catch {
-    return undefined
-  }
-}
-
 export const create = (options: Options): AgentProcess => {
   const { name, life, seeds, store, calls, timers, log, leftOutLines } = options
   const storeReachable = new Map<number, boolean>()
@@ -117,7 +105,7 @@
     const result = await follow.hedged(() => store.row('workers', name), timers)
     if (result.kind === 'error') return log.warn('worker-not-recalled', { reason: result.error.kind })
     if (!result.value || agent.worker()) return
-    const worker = parseWorker(result.value.value)
+    const worker = workerRows.parse(result.value.value)
     if (!worker) return log.warn('worker-not-recalled', { reason: 'unreadable row' })
     kept = result.value.value
     agent.announced(worker, undefined)
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -93,21 +93,22 @@
       } else if (entry.dialedSince !== undefined) release(entry)
     }
   }
-  const release = (entry: Entry): void => {
-    const sessions = [...up.values()].filter(({ peer }) => peer.address === entry.address)
-    if (!sessions.every(isIdle)) return
+  /** Dials the entry no more, and closes links to it. */
+  const letGo = (entry: Entry, sessions: sessions.Session[], reason: string): void => {
     entry.dialedSince = undefined
     links.forget(entry.address)
-    for (const { id } of sessions) links.close(id, 'linked to other entries')
+    for (const { id } of sessions) links.close(id, reason)
+  }
+  const release = (entry: Entry): void => {
+    const sessions = [...up.values()].filter(({ peer }) => peer.address === entry.address)
+    if (sessions.every(isIdle)) letGo(entry, sessions, 'linked to other entries')
   }
   /** Of two entries that dial each other at the same time, the one with the greater address gives up its own link. */
   const dropTwin = ({ peer }: sessions.Session): void => {
     const twins = [...up.values()].filter((other) => other.peer.life === peer.life)
-    if (twins.length < 2 || hello.address < peer.address) return
     const entry = entries.get(peer.address)
-    if (entry) entry.dialedSince = undefined
-    links.forget(peer.address)
-    for (const { id, dialed } of twins) if (dialed) links.close(id, 'linked twice')
+    if (!entry || twins.length < 2 || hello.address < peer.address) return
+    letGo(entry, twins.filter(({ dialed }) => dialed), 'linked twice')
   }
   const selectAgain = (): void => {
     if (stopped) return
--- a/packages/fleet/src/status.ts
+++ b/packages/fleet/src/status.ts
@@ -1,6 +1,7 @@
+import * as errors from '@mustarddeck/errors'
 import type * as runs from '@mustarddeck/runs'
-import type * as errors from '@mustarddeck/errors'
 import type * as stores from './store.ts'
+import * as workerRows from './worker-row.ts'
 
 export interface Options {
   store: stores.Store
@@ -15,10 +16,10 @@
   values: Map<string, number> | undefined
 }
 
-/** A worker as its agent has kept it in the store. */
+/** A worker as its agent has kept it in the store; undefined if the row cannot be read. */
 export interface WorkerStatus {
   agent: string
-  worker: Partial<runs.Worker>
+  worker: runs.Worker | undefined
 }
 
 export interface Status {
@@ -31,14 +32,6 @@
 const parseMetrics = (text: string): Map<string, number> =>
   new Map([...text.matchAll(SAMPLE)].map(([, name, value]) => [name!, Number(value)]))
 
-const parseWorker = (text: string): Partial<runs.Worker> => {
-  try {
-    return JSON.parse(text) as Partial<runs.Worker>
-  } catch {
-    return {}
-  }
-}
-
 /** Asks the store which processes there are, and then each of them. */
 export const collect = async ({ store, metricsOf }: Options): Promise<errors.Result<Status, stores.StoreError>> => {
   const [entries, workers] = await Promise.all([store.rows('entries'), store.rows('workers')])
@@ -52,6 +45,6 @@
     ...entries.value.map(({ value }) => ask('entry', value.split(':')[0]!)),
     ...workers.value.map(({ key }) => ask('agent', key))
   ])
-  const known = workers.value.map(({ key, value }) => ({ agent: key, worker: parseWorker(value) }))
-  return { kind: 'ok', value: { processes, workers: known } }
+  const known = workers.value.map(({ key, value }) => ({ agent: key, worker: workerRows.parse(value) }))
+  return errors.ok({ processes, workers: known })
 }
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -88,7 +88,8 @@
 interface Link<Message> {
   id: number
   socket: ws.WebSocket
-  peer: Hello | undefined
+  /** Absent until the peer has said who it is. */
+  session: Session | undefined
   address: string | undefined
   pace: Pace
   /** Own clock at which the peer's latest echo was sent: the peer was heard after that. */
@@ -109,8 +110,6 @@
   cancel: clock.Cancellation
 }
 
-const sessionOf = ({ id, address }: Pick<Link<unknown>, 'id' | 'address'>, peer: Hello): Session => ({ id, peer, dialed: address !== undefined })
-
 const isHello = (value: unknown): value is Hello => {
   const hello = value as Hello | undefined
   return typeof hello === 'object' && hello !== null && typeof hello.role === 'string' &&
@@ -151,8 +150,8 @@
     beforeInput()
     if (link.closed) return
     const now = timers.monotonic()
-    if (now - link.trustedFrom > link.pace.trustMs) return close(link, link.peer ? 'peer is silent' : 'handshake timeout')
-    if (link.peer) return flush(link)
+    if (now - link.trustedFrom > link.pace.trustMs) return close(link, link.session ? 'peer is silent' : 'handshake timeout')
+    if (link.session) return flush(link)
     schedule(link)
   }
 
@@ -162,12 +161,13 @@
     link.cancel()
     links.delete(link.id)
     link.socket.terminate()
-    if (link.peer) {
+    if (link.session) {
+      const { session } = link
       const now = timers.monotonic()
-      log.info('link-down', { link: link.id, peer: link.peer.name, reason, heardMsAgo: Math.round(now - link.heardAt) })
+      log.info('link-down', { link: link.id, peer: session.peer.name, reason, heardMsAgo: Math.round(now - link.heardAt) })
       // A peer that has closed the link itself trusts it no longer.
       const trustedUntil = by === 'peer' ? now : link.heardAt + link.pace.trustMs + TIMER_MARGIN_MS
-      handler.down(sessionOf(link, link.peer), trustedUntil)
+      handler.down(session, trustedUntil)
     }
     const dial = link.address === undefined ? undefined : dials.get(link.address)
     if (dial) retry(dial)
@@ -190,23 +190,22 @@
       return close(link, `frame cannot be read: ${(cause as Error).message}`)
     }
     link.heardAt = timers.monotonic()
-    if (!link.peer) {
+    if (!link.session) {
       if (!isHello(content) || content.life === hello.life) return close(link, 'no hello')
-      link.peer = content
+      link.session = { id: link.id, peer: content, dialed: link.address !== undefined }
       link.pace = options.pace(content)
       link.trustedFrom = link.heardAt
       const dial = link.address === undefined ? undefined : dials.get(link.address)
       if (dial) dial.failures = 0
       log.info('link-up', { link: link.id, peer: content.name, role: content.role, address: content.address })
-      handler.up(sessionOf(link, content))
+      handler.up(link.session)
       return flush(link)
     }
     if (!Array.isArray(content) || content.length !== 3) return close(link, 'malformed frame')
     const [sentAt, echo, messages] = content as Frame<Message>
     link.peerClock = sentAt
     link.trustedFrom = Math.max(link.trustedFrom, echo)
-    const session = sessionOf(link, link.peer)
-    for (const message of messages) if (!link.closed) handler.message(session, message)
+    for (const message of messages) if (!link.closed) handler.message(link.session, message)
   }
 
   const add = (socket: ws.WebSocket, address: string | undefined): void => {
@@ -214,7 +213,7 @@
     const link: Link<Message> = {
       id: nextId++,
       socket,
-      peer: undefined,
+      session: undefined,
       address,
       pace: PROMPT,
       trustedFrom: now + CONNECT_TIMEOUT_MS - PROMPT.trustMs,
@@ -262,7 +261,7 @@
     },
     send: (id, message) => {
       const link = links.get(id)
-      if (!link?.peer) return
+      if (!link?.session) return
       link.queue.push(message)
       if (link.flushing) return
       link.flushing = true
