Format log lines without a detour through JSON

Cause: each log line was built by pino as JSON, parsed and formatted again, 6.8% of an agent's samples in a processor profile at 20 starts/s; an agent also compared each update of free capacity as JSON text.

Change: the log formats key=value pairs itself and keeps pino's buffered output; values that need quotes still go through the logfmt library. Updates are compared by field.

Tests of the log unchanged.

--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -5,6 +5,9 @@
 
 export type Level = 'debug' | 'info' | 'warn' | 'error'
 
+/** In ascending order of severity. */
+const LEVELS: Level[] = ['debug', 'info', 'warn', 'error']
+
 /** Receives complete lines. */
 export interface Destination {
   write (line: string): void
@@ -24,7 +27,7 @@
 
 const CENSOR = '[redacted]'
 /** Fields whose values are always redacted. */
-const SECRET_FIELDS = ['key', 'sharedKey', 'token', 'operatorToken', 'authorization', 'secret', 'password']
+const SECRET_FIELDS = new Set(['key', 'sharedKey', 'token', 'operatorToken', 'authorization', 'secret', 'password'])
 /** Maximum length of a value in characters; longer ones are truncated, so that a caller's input cannot fill the log. */
 const MAX_VALUE_LENGTH = 500
 /** Maximum size of the output buffer; if the reader of standard output is too slow, further lines are dropped. */
@@ -62,23 +65,34 @@
   }
 }
 
+/** Values that logfmt writes as they are and that need no truncation. */
+const PLAIN_VALUE = /^[\w.,:;/@+-]{1,500}$/
+
 /** Truncates a value and escapes its control characters. logfmt does not, so a line feed could forge another line. */
-const sanitize = (value: unknown): unknown => typeof value === 'string'
-  ? value.slice(0, MAX_VALUE_LENGTH).replace(CONTROL_CHARACTERS, escape)
-  : value
+const sanitize = (value: string): string => value.slice(0, MAX_VALUE_LENGTH).replace(CONTROL_CHARACTERS, escape)
+
+/**
+ * Formats fields as logfmt, each preceded by a space. Most values need no quotes; checking for that avoids most of the
+ * cost of a line, which a process writes for each routing decision.
+ */
+const format = (fields: Record<string, log.Field>): string => {
+  let text = ''
+  for (const name in fields) {
+    const value = SECRET_FIELDS.has(name) ? CENSOR : fields[name]
+    if (value === undefined) continue
+    if (typeof value !== 'string') text += ` ${name}=${value}`
+    else if (PLAIN_VALUE.test(value)) text += ` ${name}=${value}`
+    else text += ` ${logfmt.stringify({ [name]: sanitize(value) })}`
+  }
+  return text
+}
 
-/** Creates a log that formats pino's records as logfmt lines, on the calling thread. */
+/** Creates a log that writes logfmt lines through pino's buffered output, on the calling thread. */
 export const create = (settings: Settings): log.Log => {
   const destination = settings.destination ?? (sharedOutput ??= createStandardOutput())
   const secrets = (settings.secrets ?? []).filter((secret) => secret !== '')
+  const { budget } = settings
 
-  const writeLine = (json: string): void => {
-    const fields = JSON.parse(json) as Record<string, unknown>
-    for (const [name, value] of Object.entries(fields)) fields[name] = sanitize(value)
-    const line = `${logfmt.stringify(fields)}\n`
-    settings.budget?.recordBytes(line.length)
-    destination.write(line)
-  }
   const redact = (value: log.Field): log.Field => typeof value === 'string'
     ? secrets.reduce((text, secret) => text.replaceAll(secret, CENSOR), value)
     : value
@@ -86,35 +100,32 @@
     ? fields
     : Object.fromEntries(Object.entries(fields).map(([name, value]) => [name, redact(value)]))
 
+  const writeLine = (level: Level, context: string, fields: Record<string, log.Field>): void => {
+    const line = `level=${level} time=${new Date().toISOString()}${context}${format(redactAll(fields))}\n`
+    budget?.recordBytes(line.length)
+    destination.write(line)
+  }
   const isAdmitted = (level: Level, event: string): boolean => {
-    const { budget } = settings
     if (!budget) return true
     const unreported = budget.takeUnreported()
     if (unreported && budget.admit('lines-left-out', false)) {
-      base.warn({ event: 'lines-left-out', ...Object.fromEntries(unreported) })
+      writeLine('warn', baseContext, { event: 'lines-left-out', ...Object.fromEntries(unreported) })
     }
     return budget.admit(event, level === 'info' || level === 'debug')
   }
-  const createLog = (logger: pino.Logger): log.Log => {
+  const createLog = (context: string): log.Log => {
     const write = (level: Level) => (event: string, fields: Record<string, log.Field> = {}): void => {
-      if (!logger.isLevelEnabled(level) || !isAdmitted(level, event)) return
-      logger[level](redactAll({ event, ...fields }))
+      if (LEVELS.indexOf(level) < LEVELS.indexOf(settings.level) || !isAdmitted(level, event)) return
+      writeLine(level, context, { event, ...fields })
     }
     return {
       debug: write('debug'),
       info: write('info'),
       warn: write('warn'),
       error: write('error'),
-      with: (fields) => createLog(logger.child(redactAll(fields)))
+      with: (fields) => createLog(context + format(redactAll(fields)))
     }
   }
-  const options: pino.LoggerOptions = {
-    level: settings.level,
-    base: null,
-    timestamp: pino.stdTimeFunctions.isoTime,
-    formatters: { level: (level) => ({ level }) },
-    redact: { paths: SECRET_FIELDS, censor: CENSOR }
-  }
-  const base = pino.pino(options, { write: writeLine }).child(redactAll(settings.fields ?? {}))
-  return createLog(base)
+  const baseContext = format(redactAll(settings.fields ?? {}))
+  return createLog(baseContext)
 }
--- a/packages/run-agent/src/capacity-updates.ts
+++ b/packages/run-agent/src/capacity-updates.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@mustarddeck/clock'
-import type * as runs from '@mustarddeck/runs'
+import * as runs from '@mustarddeck/runs'
 
 /** Time in ms after which free capacity offered to one waiting entry is offered to the next. */
 const HEAD_START_MS = 4
@@ -44,8 +44,8 @@
   link: number
   /** Sequence number of the latest start message. */
   sequence: number
-  /** Update last sent to the entry, as JSON. */
-  lastSent: string
+  /** Update last sent to the entry. */
+  lastSent: runs.CapacityMessage | undefined
   /** Undefined while no task waits at the entry. */
   demand: Demand | undefined
 }
@@ -53,6 +53,13 @@
 const isMoreUrgent = (left: Demand, right: Demand): boolean =>
   left.priority === right.priority ? left.startDeadline < right.startDeadline : left.priority < right.priority
 
+const isSame = (left: runs.CapacityMessage, right: runs.CapacityMessage): boolean =>
+  left.sequence === right.sequence && left.sharers === right.sharers && runs.equals(left.free, right.free) &&
+  isSameWorker(left.worker, right.worker)
+
+const isSameWorker = (left: runs.Worker | undefined, right: runs.Worker | undefined): boolean =>
+  left === right || (left !== undefined && right !== undefined && JSON.stringify(left) === JSON.stringify(right))
+
 export const create = ({ timers, currentCapacity, send }: Options): CapacityUpdates => {
   const entries = new Map<number, Entry>()
   /** Entries that were offered the current free capacity. */
@@ -65,9 +72,8 @@
 
   const sendUpdate = (entry: Entry): void => {
     const message: runs.CapacityMessage = { kind: 'room', sequence: entry.sequence, sharers: entries.size, ...currentCapacity() }
-    const text = JSON.stringify(message)
-    if (text === entry.lastSent) return
-    entry.lastSent = text
+    if (entry.lastSent && isSame(message, entry.lastSent)) return
+    entry.lastSent = message
     send(entry.link, message)
   }
 
@@ -108,7 +114,7 @@
 
   return {
     up: (link) => {
-      entries.set(link, { link, sequence: 0, lastSent: '', demand: undefined })
+      entries.set(link, { link, sequence: 0, lastSent: undefined, demand: undefined })
       updateAllNow()
     },
     down: (link) => {
--- a/packages/runs/src/resources.ts
+++ b/packages/runs/src/resources.ts
@@ -22,3 +22,6 @@
 
 export const fits = (needed: Resources, free: Resources): boolean =>
   needed.millicores <= free.millicores && needed.memoryMb <= free.memoryMb && needed.accelerators <= free.accelerators
+
+export const equals = (left: Resources, right: Resources): boolean =>
+  left.millicores === right.millicores && left.memoryMb === right.memoryMb && left.accelerators === right.accelerators
