Bound the attempts to reach restarted entries, and survive malformed input

Three matters that meet in the links between processes.

Connection storm. Cause: after a loss of power 195 processes start together. Each attempt ended after 250 ms although the entry had accepted the connection, and came again 50 ms later; the entry still paid for every abandoned handshake. Change: 250 ms bound only the TCP connection, the peer's hello may take 2 s; delays grow from 50 ms to 1 s with jitter; of two entries the one with the lower address dials.

Processor time. Both ends of a link sent a frame each 150 ms. Now the dialing end requests an echo when its latest one is 225 ms old, and the other end replies; the time of trust is as before (450 ms), and a reply has 225 ms instead of 150 to arrive. Entries report their status when it changes and to new peers instead of each second to all; agents no longer repeat the version.

One malformed message took a process down. A row of another writer in the table of entries ended every process at its next read (port out of range), a frame without its fields ended the receiver, a frame with an echo that is no number kept its link up for ever, and a line feed in a worker's id ended the agent, as the id goes into a header. Now messages are checked by kind, a malformed one is logged with its sender and closes the link; addresses and ids are checked; an unexpected error in a request is logged and answered as unknown.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -13,8 +13,8 @@
 
 /** Interval in ms at which the entry checks its status and reports changes to peers. */
 const STATUS_CHECK_MS = 300
-/** Interval in ms at which an unchanged status is repeated, in case a report was lost. */
-const STATUS_REPEAT_MS = 1000
+/** Shortest interval in ms between reports of changed numbers of waiting jobs, which may be 2 s old. */
+const WAITING_REPORT_MS = 900
 /** Delay in ms before a failed write of the entry's own row is retried. */
 const ANNOUNCE_RETRY_MS = 300
 /** Margin in ms for the stop orders that an agent sends when it loses its entry. */
@@ -61,7 +61,7 @@
   const address = `${host}:${port}`
   const workerUsable = new Map<number, boolean>()
   const waitingByLink = new Map<number, Record<string, number>>()
-  /** Status last reported to peers; `at` is the monotonic ms of the last report to all of them. */
+  /** Status last reported to the other entries; `at` is the monotonic ms of that report. */
   let lastReport = { storeReachable: false, text: '', at: -Infinity }
   let draining = false
   let stopped = false
@@ -111,6 +111,7 @@
     followsStore: () => true,
     onPause: () => {},
     up: ({ id, peer }) => {
+      links.send(id, currentStatus())
       if (peer.role === 'agent') jobs.agentUp(id, peer.name, peer.life)
     },
     message: receive,
@@ -138,19 +139,20 @@
     send: (link, message) => links.send(link, message),
     others: () => otherEntries().map(({ id }) => id)
   })
+  const currentStatus = (): messages.Message & { kind: 'status' } => (
+    { kind: 'status', storeReachable: follower.isCurrent(), waiting: Object.fromEntries(jobs.waiting()) })
+  /** Reports changes of the status. Each new peer gets the current one. */
   const reportStatus = (): void => {
     if (stopped) return
     timers.after(STATUS_CHECK_MS, reportStatus)
-    const status = {
-      kind: 'status' as const, storeReachable: follower.isCurrent(), waiting: Object.fromEntries(jobs.waiting())
-    }
+    const status = currentStatus()
     const text = JSON.stringify(status)
     const now = timers.monotonic()
-    const isDue = status.storeReachable !== lastReport.storeReachable || now - lastReport.at >= STATUS_REPEAT_MS
-    if (isDue) peers.broadcast(status)
+    if (status.storeReachable !== lastReport.storeReachable) peers.broadcast(status)
+    else if (text === lastReport.text || now - lastReport.at < WAITING_REPORT_MS) return
     // Agents don't need the numbers of waiting jobs.
-    else if (text !== lastReport.text) for (const { id } of otherEntries()) links.send(id, status)
-    lastReport = { storeReachable: status.storeReachable, text, at: isDue ? now : lastReport.at }
+    else for (const { id } of otherEntries()) links.send(id, status)
+    lastReport = { storeReachable: status.storeReachable, text, at: now }
   }
 
   const measured = measurements.create({
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -1,7 +1,9 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as log from '@mustarddeck/log'
+import * as random from '@mustarddeck/random'
 import * as sessions from '@mustarddeck/sessions'
 import * as follow from './follow.ts'
+import * as messageValidation from './message-validation.ts'
 import type * as messages from './messages.ts'
 import * as discovery from './peers.ts'
 import * as propagations from './propagation.ts'
@@ -40,15 +42,23 @@
   down (session: sessions.Session, trustedUntil: number): void
 }
 
+/** Seed of the process's random decisions, from the hexadecimal digits of its incarnation. */
+const seedOf = (incarnation: string): number => Number.parseInt(incarnation.slice(-7), 16) || 0
+
 export const create = (options: Options): Member => {
   const { hello, seeds, store, timers, log, removesStaleRows, maxLinks, isIdle } = options
 
+  const generator = random.create(seedOf(hello.life))
   const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
     log.warn('pause', { gapMs })
     options.onPause()
     links.closeAll('process stood still')
   })
-  const receive = (session: sessions.Session, message: messages.Message): void => {
+  const receive = (session: sessions.Session, message: unknown): void => {
+    if (!messageValidation.isMessage(message)) {
+      log.warn('message-malformed', { peer: session.peer.name })
+      return links.close(session.id, 'malformed message')
+    }
     if (propagation.receive(session.id, message)) return
     if (message.kind === 'entries') peers.learn(message.addresses)
     else options.message(session, message)
@@ -56,6 +66,7 @@
   const links: sessions.Sessions<messages.Message> = sessions.create<messages.Message>({
     hello,
     timers,
+    random: generator,
     log,
     beforeInput: () => pauses.check(),
     pace: ({ role }) => role === 'entry' && hello.role === 'entry' ? sessions.RELAXED : sessions.PROMPT,
@@ -86,7 +97,9 @@
     links,
     current: () => follower.current(),
     offer: (deployment) => follower.offer(deployment),
-    broadcast: (message) => peers.broadcast(message)
+    broadcast: (message) => peers.broadcast(message),
+    // Entries follow the store, and each agent is linked to several of them.
+    repeatsVersion: hello.role === 'entry'
   })
 
   return {
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -12,6 +12,8 @@
 const LINKED_READ_INTERVAL_MS = 15_000
 /** Time in ms without a link after which an entry's row is removed from the store. */
 const STALE_ROW_AFTER_MS = 60_000
+/** Time in ms within which the entry with the lower address dials the other one. */
+const OTHER_DIALS_WITHIN_MS = 1000
 /** Interval in ms at which the selection of linked entries is reassessed. */
 const SELECTION_INTERVAL_MS = 500
 
@@ -89,11 +91,15 @@
       if (chosen.has(entry.address)) {
         // A link that the entry has dialed serves both directions.
         if (entry.dialedSince === undefined && entry.linked > 0) continue
+        if (leavesDialing(entry, now)) continue
         entry.dialedSince ??= now
         links.dial(entry.address)
       } else if (entry.dialedSince !== undefined) disconnectIfIdle(entry)
     }
   }
+  /** Of two entries, the one with the greater address dials only if the other one does not. */
+  const leavesDialing = ({ address, dialedSince, lastSeenAt }: Entry, now: number): boolean =>
+    dialedSince === undefined && address < hello.address && now - lastSeenAt < OTHER_DIALS_WITHIN_MS
   /** Stops dialing the entry and closes the given links to it. */
   const disconnect = (entry: Entry, sessions: sessions.Session[], reason: string): void => {
     entry.dialedSince = undefined
--- a/packages/fleet/src/propagation.ts
+++ b/packages/fleet/src/propagation.ts
@@ -5,7 +5,7 @@
 
 /** Time in ms after which an unanswered request for a configuration may be repeated to another peer. */
 const REQUEST_RETRY_MS = 400
-/** Interval in ms at which the version is broadcast again, in case a message was lost. */
+/** Interval in ms at which the version is broadcast again, so that another peer is asked if one did not answer. */
 const VERSION_INTERVAL_MS = 1000
 
 export interface Options {
@@ -14,6 +14,8 @@
   current (): deployments.Deployment | undefined
   offer (deployment: deployments.Deployment): boolean
   broadcast (message: messages.Message): void
+  /** False for a process that broadcasts its version only when it changes. */
+  repeatsVersion?: boolean
 }
 
 /**
@@ -29,7 +31,7 @@
   stop (): void
 }
 
-export const create = ({ timers, links, current, offer, broadcast }: Options): Propagation => {
+export const create = ({ timers, links, current, offer, broadcast, repeatsVersion = true }: Options): Propagation => {
   let lastRequest: { version: number, at: number } | undefined
 
   const versionMessage = (): messages.Message | undefined => {
@@ -44,7 +46,7 @@
     broadcastVersion()
     cancel = timers.after(VERSION_INTERVAL_MS, broadcastPeriodically)
   }
-  let cancel = timers.after(VERSION_INTERVAL_MS, broadcastPeriodically)
+  let cancel = repeatsVersion ? timers.after(VERSION_INTERVAL_MS, broadcastPeriodically) : () => {}
 
   const requestIfNewer = (link: number, version: number): void => {
     if (version <= (current()?.version ?? -1)) return
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -1,5 +1,6 @@
 import * as clock from '@mustarddeck/clock'
 import * as logging from '@mustarddeck/log'
+import * as random from '@mustarddeck/random'
 import { expect } from 'chai'
 import * as net from 'node:net'
 import * as sessions from './index.ts'
@@ -21,6 +22,7 @@
   const links = sessions.create<unknown>({
     hello: { role: name, name, life: `${name}-life`, address: '' },
     timers,
+    random: random.create(1),
     log,
     beforeInput: () => {},
     pace: () => pace,
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -1,29 +1,35 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as log from '@mustarddeck/log'
+import type * as random from '@mustarddeck/random'
 import * as msgpackr from 'msgpackr/pack'
+import * as net from 'node:net'
 import * as ws from 'ws'
+import * as retryDelay from './retry-delay.ts'
 
 /** Intervals of heartbeats and timeouts on a link. Both ends use the same ones. */
 export interface Pace {
-  /** Maximum interval in ms between frames. A frame without messages is a heartbeat. */
+  /** Age in ms of the latest echo at which the dialing end requests a fresh one. */
   heartbeatMs: number
-  /** Time in ms without a fresh echo after which a process no longer trusts its peer to be alive: three heartbeats. */
+  /**
+   * Age in ms of the latest echo after which the dialing end no longer trusts its peer to be alive. The other end's
+   * echo is up to one heartbeat older, since it arrives with the next heartbeat.
+   */
   timeoutMs: number
 }
 
 /** Pace between an entry and an agent, which acts for it: a loss is detected in time for the caller's next attempt. */
-export const PROMPT: Pace = { heartbeatMs: 150, timeoutMs: 450 }
+export const PROMPT: Pace = { heartbeatMs: 225, timeoutMs: 450 }
 /** Pace between processes that only exchange status. */
-export const RELAXED: Pace = { heartbeatMs: 450, timeoutMs: 1350 }
+export const RELAXED: Pace = { heartbeatMs: 675, timeoutMs: 1350 }
 /** Time in ms by which a peer's timer, and so the end of its trust, may be late. */
 const TIMER_TOLERANCE_MS = 25
-/** Time limit in ms for setting up a connection. A machine without power answers no packets. */
+/** Time limit in ms for a TCP connection. A machine without power answers no packets. */
 const CONNECT_TIMEOUT_MS = 250
-/** Delay in ms between the first attempts to reach a lost peer, for example after a restart of all processes. */
-const FAST_RETRY_MS = 50
-/** Number of attempts with that delay. Later ones are `SLOW_RETRY_MS` apart. */
-const FAST_RETRIES = 100
-const SLOW_RETRY_MS = 1000
+/**
+ * Time limit in ms from the TCP connection to the peer's hello. A peer that accepts connections may have many
+ * handshakes to process; a new attempt would only add one more.
+ */
+const HANDSHAKE_TIMEOUT_MS = 2000
 /** Unsent bytes above which the link to a peer that doesn't read is closed. */
 const MAX_BUFFERED_BYTES = 4 * 2 ** 20
 /** Maximum size in bytes of a received frame. */
@@ -48,6 +54,7 @@
 
 export interface Handler<Message> {
   up (session: Session): void
+  /** Called for each received message; the content is as the peer sent it and may have another type. */
   message (session: Session, message: Message): void
   /**
    * Called when a link that was up is closed. `trustedUntil` is the latest monotonic ms at which the peer
@@ -62,7 +69,7 @@
  */
 export interface Sessions<Message> {
   listen (host: string, port: number): Promise<void>
-  /** Keeps a link to the address, with reconnects, until `forget`. */
+  /** Keeps a link to the address, with reconnects, until `forget`. A malformed address is logged and ignored. */
   dial (address: string): void
   forget (address: string): void
   send (id: number, message: Message): void
@@ -75,6 +82,8 @@
 export interface Options<Message> {
   hello: Hello
   timers: clock.Timers
+  /** Spreads the attempts of many processes to reach the same peer. */
+  random: random.Random
   log: log.Log
   handler: Handler<Message>
   /** Returns the pace of links to the peer. The peer must choose the same one. */
@@ -92,6 +101,8 @@
   session: Session | undefined
   address: string | undefined
   pace: Pace
+  /** Monotonic ms at which the link closes unless the peer's hello has arrived. */
+  helloDeadline: number
   /** Own clock in the peer's latest echo. The peer was alive after that time. */
   echoedAt: number
   /** Monotonic ms at which the latest frame arrived. */
@@ -106,6 +117,7 @@
 
 interface Dial {
   address: string
+  /** Failed attempts since the last link. */
   failures: number
   cancel: clock.Cancellation
 }
@@ -116,8 +128,24 @@
     typeof hello.name === 'string' && typeof hello.life === 'string' && typeof hello.address === 'string'
 }
 
+const isFrame = <Message>(value: unknown): value is Frame<Message> => {
+  if (!Array.isArray(value) || value.length !== 3) return false
+  const [sentAt, echo, messages] = value as unknown[]
+  return Number.isFinite(sentAt) && Number.isFinite(echo) && Array.isArray(messages)
+}
+
+/** Address of the form HOST:PORT to which a connection can be opened. */
+const isAddress = (text: string): boolean => {
+  const match = /^[\w.-]+:(\d{1,5})$/.exec(text)
+  return match !== null && Number(match[1]) < 2 ** 16
+}
+
+/** Age in ms of an echo up to which an end of a link trusts its peer. */
+const echoTimeoutMs = ({ heartbeatMs, timeoutMs }: Pace, dialed: boolean): number =>
+  dialed ? timeoutMs : timeoutMs + heartbeatMs
+
 export const create = <Message>(options: Options<Message>): Sessions<Message> => {
-  const { hello, timers, log, handler, beforeInput } = options
+  const { hello, timers, random: generator, log, handler, beforeInput } = options
   const packr = new msgpackr.Packr({ useRecords: false, variableMapSize: true, structuredClone: false })
   const links = new Map<number, Link<Message>>()
   const dials = new Map<string, Dial>()
@@ -138,21 +166,27 @@
     link.queue = []
     const frame: Frame<Message> = [timers.monotonic(), link.peerClock, messages]
     write(link, frame)
-    scheduleTimer(link)
-  }
-  /** Schedules the next heartbeat, or the end of this side's trust in the peer if that is earlier. */
-  const scheduleTimer = (link: Link<Message>): void => {
-    const remainingMs = link.echoedAt + link.pace.timeoutMs - timers.monotonic()
-    link.cancel()
-    link.cancel = timers.after(Math.max(1, Math.min(link.pace.heartbeatMs, remainingMs + 1)), () => onTimer(link))
   }
+  /** Closes the link when this end's trust in the peer ends. The dialing end requests an echo before that. */
   const onTimer = (link: Link<Message>): void => {
     beforeInput()
     if (link.closed) return
     const now = timers.monotonic()
-    if (now - link.echoedAt > link.pace.timeoutMs) return close(link, link.session ? 'peer is silent' : 'handshake timeout')
-    if (link.session) return flush(link)
-    scheduleTimer(link)
+    if (!link.session) {
+      if (now >= link.helloDeadline) return close(link, 'handshake timeout')
+      return schedule(link, link.helloDeadline - now)
+    }
+    const ageMs = now - link.echoedAt
+    const trustMs = echoTimeoutMs(link.pace, link.session.dialed)
+    if (ageMs > trustMs) return close(link, 'peer is silent')
+    if (!link.session.dialed) return schedule(link, trustMs - ageMs + 1)
+    if (ageMs < link.pace.heartbeatMs) return schedule(link, link.pace.heartbeatMs - ageMs)
+    flush(link)
+    schedule(link, Math.min(link.pace.heartbeatMs, trustMs - ageMs + 1))
+  }
+  const schedule = (link: Link<Message>, delayMs: number): void => {
+    link.cancel()
+    link.cancel = timers.after(Math.max(1, delayMs), () => onTimer(link))
   }
 
   const close = (link: Link<Message>, reason: string, closedBy: 'self' | 'peer' = 'self'): void => {
@@ -166,7 +200,8 @@
       const now = timers.monotonic()
       log.info('link-down', { link: link.id, peer: session.peer.name, reason, heardMsAgo: Math.round(now - link.receivedAt) })
       // A peer that closed the link itself no longer trusts this process.
-      const trustedUntil = closedBy === 'peer' ? now : link.receivedAt + link.pace.timeoutMs + TIMER_TOLERANCE_MS
+      const peerTrustMs = echoTimeoutMs(link.pace, !session.dialed) + TIMER_TOLERANCE_MS
+      const trustedUntil = closedBy === 'peer' ? now : link.receivedAt + peerTrustMs
       handler.down(session, trustedUntil)
     }
     const dial = link.address === undefined ? undefined : dials.get(link.address)
@@ -174,7 +209,7 @@
   }
   const retry = (dial: Dial): void => {
     if (stopped) return
-    const delayMs = dial.failures < FAST_RETRIES ? FAST_RETRY_MS : SLOW_RETRY_MS
+    const delayMs = retryDelay.delayMs(dial.failures, generator)
     dial.failures++
     dial.cancel()
     dial.cancel = timers.after(delayMs, () => connect(dial))
@@ -199,16 +234,20 @@
       if (dial) dial.failures = 0
       log.info('link-up', { link: link.id, peer: content.name, role: content.role, address: content.address })
       handler.up(link.session)
+      schedule(link, 1)
       return flush(link)
     }
-    if (!Array.isArray(content) || content.length !== 3) return close(link, 'malformed frame')
-    const [sentAt, echo, messages] = content as Frame<Message>
+    if (!isFrame<Message>(content)) return close(link, 'malformed frame')
+    const [sentAt, echo, messages] = content
     link.peerClock = sentAt
-    link.echoedAt = Math.max(link.echoedAt, echo)
+    // An echo from the future would keep the link up after the peer has fallen silent.
+    if (echo <= link.receivedAt) link.echoedAt = Math.max(link.echoedAt, echo)
     for (const message of messages) if (!link.closed) handler.message(link.session, message)
+    // An empty frame from the dialing end requests an echo.
+    if (!link.session.dialed && messages.length === 0) flush(link)
   }
 
-  const addLink = (socket: ws.WebSocket, address: string | undefined): void => {
+  const addLink = (socket: ws.WebSocket, address: string | undefined): Link<Message> => {
     const now = timers.monotonic()
     const link: Link<Message> = {
       id: nextId++,
@@ -216,7 +255,8 @@
       session: undefined,
       address,
       pace: PROMPT,
-      echoedAt: now + CONNECT_TIMEOUT_MS - PROMPT.timeoutMs,
+      helloDeadline: now + HANDSHAKE_TIMEOUT_MS,
+      echoedAt: now,
       receivedAt: now,
       peerClock: 0,
       queue: [],
@@ -225,17 +265,22 @@
       closed: false
     }
     links.set(link.id, link)
-    scheduleTimer(link)
     socket.on('message', (data) => onFrame(link, data as Buffer))
     socket.on('error', (cause) => close(link, cause.message, 'peer'))
     socket.on('close', () => close(link, 'closed by peer', 'peer'))
     if (socket.readyState === ws.WebSocket.OPEN) write(link, hello)
     else socket.once('open', () => write(link, hello))
+    return link
   }
   const connect = (dial: Dial): void => {
-    if (!stopped && dials.get(dial.address) === dial) {
-      addLink(new ws.WebSocket(`ws://${dial.address}`, socketOptions), dial.address)
-    }
+    if (stopped || dials.get(dial.address) !== dial) return
+    const [host, port] = dial.address.split(':')
+    const connection = net.connect(Number(port), host)
+    const socket = new ws.WebSocket(`ws://${dial.address}`, { ...socketOptions, createConnection: () => connection })
+    const link = addLink(socket, dial.address)
+    link.helloDeadline = timers.monotonic() + CONNECT_TIMEOUT_MS
+    connection.once('connect', () => { link.helloDeadline = timers.monotonic() + HANDSHAKE_TIMEOUT_MS })
+    schedule(link, CONNECT_TIMEOUT_MS)
   }
 
   return {
@@ -247,10 +292,11 @@
         started.once('error', reject)
       })
       started.on('error', (cause) => log.error('link-server-failed', { reason: cause.message }))
-      started.on('connection', (socket) => addLink(socket, undefined))
+      started.on('connection', (socket) => schedule(addLink(socket, undefined), HANDSHAKE_TIMEOUT_MS))
     },
     dial: (address) => {
       if (dials.has(address) || address === hello.address || stopped) return
+      if (!isAddress(address)) return log.warn('address-malformed', { address })
       const dial: Dial = { address, failures: 0, cancel: () => {} }
       dials.set(address, dial)
       connect(dial)
