Index waiting jobs, and do not judge a job by a part of the fleet

Cause 1: each end of a task, each report of capacity and each review sorted all waiting jobs and tried every task on every agent. Now waiting jobs are kept in order of urgency, and within a pass requirements that no agent met are not tried again, so a pass costs jobs plus kinds of tasks times agents.

Cause 2: an entry that has just started knows one agent and refused jobs as if that were the whole fleet. Tests of admission now start when the entry knows its part of the fleet; their checks are unchanged.

--- a/packages/job-dispatcher/src/admission.ts
+++ b/packages/job-dispatcher/src/admission.ts
@@ -2,6 +2,7 @@
 
 /** Waiting work and the capacity that an entry has for it. */
 export interface Backlog {
+  /** The most urgent job first. */
   waiting: Iterable<jobs.JobState>
   /** Work of the job's unassigned tasks, in millicores times ms. */
   workOf (job: jobs.JobState): number
--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -9,6 +9,15 @@
   zone: string
   now: number
   candidates: Iterable<fleet.Agent>
+  /** Keys of the requirements that no candidate met earlier in this pass; candidates only lose capacity in a pass. */
+  unplaceable: Set<string>
+}
+
+/** Key of what the task requires of a worker, or undefined if it also depends on where the job's other tasks are. */
+const requirementsOf = ({ job, task, step }: jobs.TaskState): string | undefined => {
+  if (job.job.steps[step]!.maxPerWorker !== Infinity) return undefined
+  const { millicores, memoryMb, accelerators } = task.amount
+  return `${job.job.queue.service} ${millicores} ${memoryMb} ${accelerators} ${task.label ?? ''}`
 }
 
 const placedTasks = (agent: fleet.Agent, { job, step }: jobs.TaskState): number => job.placed[step]!.get(agent) ?? 0
@@ -29,8 +38,10 @@
  * already run tasks of the same step, then the largest free share of capacity.
  */
 export const chooseAgent = (
-  agents: fleet.Agents, state: jobs.TaskState, { zone, now, candidates }: SelectionContext
+  agents: fleet.Agents, state: jobs.TaskState, { zone, now, candidates, unplaceable }: SelectionContext
 ): fleet.Agent | undefined => {
+  const requirements = requirementsOf(state)
+  if (requirements !== undefined && unplaceable.has(requirements)) return undefined
   let best: fleet.Agent | undefined
   let bestScore = -Infinity
   for (const agent of candidates) {
@@ -43,5 +54,6 @@
     if (state.avoidedAgents.has(agent.name)) score += SCORE.avoided
     if (score > bestScore) [best, bestScore] = [agent, score]
   }
+  if (!best && requirements !== undefined) unplaceable.add(requirements)
   return best
 }
--- a/packages/job-dispatcher/src/demand.ts
+++ b/packages/job-dispatcher/src/demand.ts
@@ -1,7 +1,8 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as runs from '@mustarddeck/runs'
 import type * as fleet from './agents.ts'
-import * as jobs from './jobs.ts'
+import type * as jobs from './jobs.ts'
+import type * as waitingJobs from './waiting-jobs.ts'
 
 /** Difference in ms between the sent and the current start deadline above which the agent is notified again. */
 const TOLERANCE_MS = 50
@@ -16,9 +17,9 @@
 /** Notifies agents of the most urgent task that waits for capacity on their workers. */
 export interface DemandNotifier {
   /** Notifies agents that have not been sent demand as urgent as that of the waiting jobs. */
-  announce (agents: Iterable<fleet.Agent>, waiting: Iterable<jobs.JobState>): void
+  announce (agents: Iterable<fleet.Agent>, waiting: waitingJobs.WaitingJobs): void
   /** Withdraws or lowers the sent demand; called when the agent has reported capacity and tasks have been placed. */
-  revise (agent: fleet.Agent, waiting: Iterable<jobs.JobState>): void
+  revise (agent: fleet.Agent, waiting: waitingJobs.WaitingJobs): void
   forget (agent: fleet.Agent): void
 }
 
@@ -31,16 +32,6 @@
 export const create = ({ timers, send }: Options): DemandNotifier => {
   const lastSent = new Map<number, SentDemand>()
 
-  /** Returns the most urgent job of each service. */
-  const mostUrgent = (waiting: Iterable<jobs.JobState>): Map<string, jobs.JobState> => {
-    const byService = new Map<string, jobs.JobState>()
-    for (const job of waiting) {
-      const { service } = job.job.queue
-      const current = byService.get(service)
-      if (!current || jobs.compareUrgency(job, current) < 0) byService.set(service, job)
-    }
-    return byService
-  }
   const notify = ({ link }: fleet.Agent, job: jobs.JobState | undefined): void => {
     if (!job) {
       lastSent.delete(link)
@@ -64,17 +55,16 @@
 
   return {
     announce: (agents, waiting) => {
-      const byService = mostUrgent(waiting)
-      if (byService.size === 0) return
+      if (waiting.size === 0) return
       for (const agent of agents) {
-        const job = agent.worker && !agent.worker.leaving ? byService.get(agent.worker.service) : undefined
+        const job = agent.worker && !agent.worker.leaving ? waiting.mostUrgent(agent.worker.service) : undefined
         if (job && !agent.health.out && mustNotify(lastSent.get(agent.link), job)) notify(agent, job)
       }
     },
     revise: (agent, waiting) => {
       const sent = lastSent.get(agent.link)
       if (!sent || agent.free.millicores <= 0) return
-      const job = agent.worker && mostUrgent(waiting).get(agent.worker.service)
+      const job = agent.worker && waiting.mostUrgent(agent.worker.service)
       if (!job || overstatesUrgency(sent, job)) notify(agent, job)
     },
     forget: ({ link }) => { lastSent.delete(link) }
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -4,6 +4,7 @@
 import type * as runs from '@mustarddeck/runs'
 import * as standIn from '@mustarddeck/worker-stand-in'
 import { expect } from 'chai'
+import * as fleetDiscovery from './fleet-discovery.ts'
 import * as jobDispatcher from './index.ts'
 
 /** One-way latency of a link in ms. */
@@ -56,7 +57,8 @@
   }
   if (linked) {
     fleet.forEach(linkUp)
-    await pass(400)
+    // The entry knows its part of the fleet from then on.
+    await pass(fleetDiscovery.START_MS)
   }
 
   let nextKey = 1
@@ -150,6 +152,18 @@
     expect(results.map(({ answer }) => answer?.kind)).to.deep.equal(['completed', 'completed'])
   })
 
+  // After a loss of power, slow entries accept the links of the fleet one after the other.
+  it('does not judge by the first agent while the others are still connecting', async () => {
+    const { linkUp, fleet, pass, submit } = await setUp({ linked: false, workers: 6 })
+    linkUp(fleet[0]!)
+    await pass(400)
+    const results = Array.from({ length: 6 }, () => submit({ tasks: 3, callerTimeoutMs: 1500 }).result)
+    await pass(700)
+    fleet.slice(1).forEach(linkUp)
+    await pass(1000)
+    expect(results.map(({ answer }) => answer?.kind)).to.deep.equal(results.map(() => 'completed'))
+  })
+
   it('refuses immediately a job that no worker can ever run', async () => {
     const { submit } = await setUp()
     expect(submit({ label: 'gpu' }).result.answer).to.deep.include({ kind: 'not-run', reason: 'never-runnable' })
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -5,9 +5,11 @@
 import * as fleet from './agents.ts'
 import * as agentSelection from './agent-selection.ts'
 import * as runEstimates from './estimates.ts'
+import * as fleetDiscovery from './fleet-discovery.ts'
 import type * as interfaces from './interface.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
+import * as waitingJobs from './waiting-jobs.ts'
 
 /** Interval in ms between reviews of waiting, lost and overdue tasks. */
 const REVIEW_MS = 20
@@ -16,8 +18,6 @@
 const MIN_OVERDUE_MS = 250
 /** Time in ms after which a refused caller should retry. */
 const RETRY_AFTER_MS = 1000
-/** Time in ms after a new link in which further agents may connect, so that the total capacity is unknown. */
-const FLEET_DISCOVERY_MS = 300
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
 const ANSWER_MARGIN_MS = 40
 /** Maximum number of tasks in one log line; the log truncates longer values. */
@@ -48,8 +48,8 @@
   const byKey = new Map<runs.JobKey, jobs.JobState>()
   /** Tasks that may be on a worker, including those of ended jobs. */
   const outstanding = new Map<runs.TaskId, jobs.TaskState>()
-  const waiting = new Set<jobs.JobState>()
-  let latestLinkAt = timers.monotonic()
+  const waiting = waitingJobs.create()
+  const discovery = fleetDiscovery.create(timers)
   let drainDeadline: number | undefined
   let placementScheduled = false
 
@@ -155,8 +155,9 @@
     if (waiting.size === 0) return
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
-    const byUrgency = [...waiting].sort(jobs.compareUrgency)
-    for (const job of byUrgency) placeJob(job, { zone, now: timers.monotonic(), candidates }, batch)
+    if (candidates.every(({ free }) => free.millicores <= 0)) return
+    const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>() }
+    for (const job of [...waiting]) placeJob(job, situation, batch)
     for (const [agent, tasks] of batch) sendOrders(agent, tasks)
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
@@ -202,8 +203,11 @@
     if (now >= job.callerDeadline - ANSWER_MARGIN_MS) {
       return jobs.hasBegun(job) ? endJob(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
     }
-    if (now > job.latestStart && !jobs.hasBegun(job)) refuse(job, 'overload')
+    if (now > job.latestStart && !jobs.hasBegun(job) && !mayStillBeServed(job, now)) refuse(job, 'overload')
   }
+  /** While agents are about to link, a job may start late as long as its caller still waits for the result. */
+  const mayStillBeServed = ({ callerDeadline, criticalPathMs }: jobs.JobState, now: number): boolean =>
+    discovery.isIncomplete() && now + criticalPathMs < callerDeadline - ANSWER_MARGIN_MS
   const refuse = (job: jobs.JobState, reason: interfaces.NotRunReason): void =>
     endJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
@@ -262,7 +266,7 @@
     if (!canEverRun(job)) return refuse(state, 'never-runnable')
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
     const backlog = { waiting, workOf, millicores: entryShare(job.queue.service) }
-    const refused = now - latestLinkAt > FLEET_DISCOVERY_MS ? admission.selectRefused(state, backlog, now) : []
+    const refused = discovery.isIncomplete() ? [] : admission.selectRefused(state, backlog, now)
     for (const job of refused) refuse(job, 'overload')
     if (state.ended) return
     waiting.add(state)
@@ -301,7 +305,7 @@
       return counts
     },
     agentUp: (link, name, incarnation) => {
-      latestLinkAt = timers.monotonic()
+      discovery.agentLinked()
       agents.up(link, name, incarnation)
     },
     agentDown: (link, trustedUntil) => {
