Ask the next peer for a configuration after 400 ms, and repeat versions less often

Change: the process that wants a newer version keeps the peers that announced it and asks the next one after 400 ms. The version is broadcast after a change, to new peers, and every 5 s. The numbers of waiting jobs, which may be 2 s old, are reported at most every 1.5 s (0.9 before).

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -14,7 +14,7 @@
 /** Interval in ms at which the entry checks its status and reports changes to peers. */
 const STATUS_CHECK_MS = 300
 /** Shortest interval in ms between reports of changed numbers of waiting jobs, which may be 2 s old. */
-const WAITING_REPORT_MS = 900
+const WAITING_REPORT_MS = 1500
 /** Delay in ms before a failed write of the entry's own row is retried. */
 const ANNOUNCE_RETRY_MS = 300
 /** Margin in ms for the stop orders that an agent sends when it loses its entry. */
--- a/packages/fleet/src/propagation.ts
+++ b/packages/fleet/src/propagation.ts
@@ -3,10 +3,10 @@
 import type * as deployments from './deployment.ts'
 import type * as messages from './messages.ts'
 
-/** Time in ms after which an unanswered request for a configuration may be repeated to another peer. */
+/** Time in ms after which an unanswered request for a configuration is sent to another peer. */
 const REQUEST_RETRY_MS = 400
-/** Interval in ms at which the version is broadcast again, so that another peer is asked if one did not answer. */
-const VERSION_INTERVAL_MS = 1000
+/** Interval in ms at which the version is broadcast again, for peers that no other peer has answered. */
+const VERSION_INTERVAL_MS = 5000
 
 export interface Options {
   timers: clock.Timers
@@ -32,7 +32,10 @@
 }
 
 export const create = ({ timers, links, current, offer, broadcast, repeatsVersion = true }: Options): Propagation => {
+  /** Latest version that each peer has announced, by link; peers that were asked for it are removed. */
+  const announced = new Map<number, number>()
   let lastRequest: { version: number, at: number } | undefined
+  let cancelRetry: clock.Cancellation = () => {}
 
   const versionMessage = (): messages.Message | undefined => {
     const deployment = current()
@@ -48,12 +51,24 @@
   }
   let cancel = repeatsVersion ? timers.after(VERSION_INTERVAL_MS, broadcastPeriodically) : () => {}
 
+  const isNewer = (version: number): boolean => version > (current()?.version ?? -1)
   const requestIfNewer = (link: number, version: number): void => {
-    if (version <= (current()?.version ?? -1)) return
+    if (!isNewer(version)) return
+    announced.set(link, version)
     const now = timers.monotonic()
     if (lastRequest && lastRequest.version >= version && now - lastRequest.at < REQUEST_RETRY_MS) return
     lastRequest = { version, at: now }
+    announced.delete(link)
     links.send(link, { kind: 'deployment-wanted' })
+    cancelRetry()
+    cancelRetry = timers.after(REQUEST_RETRY_MS, askNext)
+  }
+  /** Asks another peer if the one that was asked has not answered. */
+  const askNext = (): void => {
+    for (const [link, version] of announced) {
+      if (isNewer(version)) return requestIfNewer(link, version)
+      announced.delete(link)
+    }
   }
   return {
     up: (link) => {
@@ -70,6 +85,9 @@
       } else return false
       return true
     },
-    stop: () => cancel()
+    stop: () => {
+      cancel()
+      cancelRetry()
+    }
   }
 }
