Review less often while nothing waits, and write log lines four times a second

Cause: processor time of idle processes. An entry reviewed its jobs 50 times a second and an agent its runs 20 times, also when nothing waited or was uncertain; each process woke its writer thread 10 times a second.

Change: an entry reviews every 60 ms, and every 20 ms from the moment a task waits; an agent every 150 ms, and every 50 ms while a run is uncertain or being stopped or the worker is silent. Log lines leave after 250 ms (100) or 4 KiB.

--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -13,6 +13,8 @@
 
 /** Interval in ms between reviews of waiting, lost and overdue tasks. */
 const REVIEW_MS = 20
+/** Interval in ms between reviews while no task waits. */
+const IDLE_REVIEW_MS = 60
 /** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
 const OVERDUE_FACTOR = 3
 const MIN_OVERDUE_MS = 250
@@ -223,7 +225,7 @@
   }
 
   const review = (): void => {
-    cancelReview = timers.after(REVIEW_MS, review)
+    reviewAt = Infinity
     const now = timers.monotonic()
     for (const job of [...byKey.values()]) endIfLate(job, now)
     for (const task of [...outstanding.values()]) {
@@ -234,8 +236,21 @@
     }
     place()
     demandNotifier.announce(agents.all(), waiting)
+    scheduleReview()
   }
-  let cancelReview = timers.after(REVIEW_MS, review)
+  /** Monotonic ms at which the next review is due. */
+  let reviewAt = Infinity
+  let cancelReview: clock.Cancellation = () => {}
+  /** Schedules the next review; brings it forward if a task has begun to wait. */
+  const scheduleReview = (): void => {
+    const delayMs = waiting.size > 0 ? REVIEW_MS : IDLE_REVIEW_MS
+    const dueAt = timers.monotonic() + delayMs
+    if (reviewAt <= dueAt) return
+    reviewAt = dueAt
+    cancelReview()
+    cancelReview = timers.after(delayMs, review)
+  }
+  scheduleReview()
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
     jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
@@ -271,6 +286,7 @@
     if (state.ended) return
     waiting.add(state)
     place()
+    if (waiting.size > 0) scheduleReview()
   }
 
   const markLost = (task: jobs.TaskState, mayRunUntil: number): void => {
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -35,7 +35,7 @@
 /** Minimum number of bytes per write, as each write costs system calls and a thread switch. */
 const WRITE_BYTES = 4096
 /** Time in ms after which fewer bytes are flushed too; a killed process loses at most the lines of this time. */
-const WRITE_INTERVAL_MS = 100
+const WRITE_INTERVAL_MS = 250
 
 // eslint-disable-next-line no-control-regex
 const CONTROL_CHARACTERS = /[\u0000-\u001f\u007f-\u009f\u2028\u2029]/g
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -17,6 +17,8 @@
 const UNRESPONSIVE_AFTER_MS = 350
 /** Interval in ms between reviews of the lease and of runs that are uncertain or being stopped. */
 const REVIEW_MS = 50
+/** Interval in ms between reviews while no run is uncertain or being stopped and the worker responds. */
+const IDLE_REVIEW_MS = 150
 
 /** Starts, stops and tracks all runs on one worker. */
 export interface Agent {
@@ -229,12 +231,17 @@
 
   const review = (): void => {
     if (stopped) return
-    timers.after(REVIEW_MS, review)
     const now = timers.monotonic()
+    const isUnresponsive = now - listedAt > UNRESPONSIVE_AFTER_MS
+    let hasUnsettled = false
     for (const run of [...ledger.all()]) {
-      if (now > lease.expiredBy() && now - listedAt > UNRESPONSIVE_AFTER_MS) finish(run, 'lapsed', 'lease expired')
-      else if (run.state === 'uncertain' || run.state === 'stopping') stopRun(run)
+      if (isUnresponsive && now > lease.expiredBy()) finish(run, 'lapsed', 'lease expired')
+      else if (run.state === 'uncertain' || run.state === 'stopping') {
+        hasUnsettled = true
+        stopRun(run)
+      }
     }
+    timers.after(hasUnsettled || isUnresponsive ? REVIEW_MS : IDLE_REVIEW_MS, review)
     // When the worker becomes unresponsive, no other event triggers an update.
     if (wasReady !== isReady()) updates.changed()
     wasReady = isReady()
