Let an entry answer an offer before the next one gets it, and correct stale reports

Load pattern: entries that share workers near their capacity.

Cause 1: free capacity was offered to the next entry after 4 ms, before the first one's order could arrive, so that both orders raced. Cause 2: an agent's report to idle entries is up to 250 ms old, and a job of 8 tasks takes a worker at once. An entry is now updated immediately when it believes in a quarter of the capacity too much; and an update that has to wait for a head start is sent after it, not 250 ms later.

Two expected sequences in the tests of updates changed: offers are 20 ms apart, and the entries hear of capacity that is gone.

--- a/packages/run-agent/src/capacity-updates.test.ts
+++ b/packages/run-agent/src/capacity-updates.test.ts
@@ -12,6 +12,8 @@
   labels: [],
   leaving: false
 }
+/** Time in ms after which an offer goes to the next entry. */
+const HEAD_START_MS = 21
 /** Time in ms after which every entry has received an update. */
 const SOON_MS = 250
 
@@ -42,7 +44,7 @@
     subject.setDemand(2, { priority: 0, withinMs: 30 })
     free(1600)
     expect(sent).to.deep.equal([[2, 1600]])
-    timers.advance(5)
+    timers.advance(HEAD_START_MS)
     expect(sent).to.deep.equal([[2, 1600], [1, 1600]])
     timers.advance(SOON_MS)
     expect(sent).to.deep.equal([[2, 1600], [1, 1600], [3, 1600]])
@@ -72,11 +74,12 @@
     subject.setDemand(1, { priority: 0, withinMs: 50 })
     subject.setDemand(2, { priority: 0, withinMs: 90 })
     free(1600)
-    timers.advance(5)
+    timers.advance(HEAD_START_MS)
     state.free = 0
     subject.changed()
     free(3200)
-    expect(sent).to.deep.equal([[1, 1600], [2, 1600], [1, 3200]])
+    // An entry that would place tasks on the capacity that is gone is updated at once.
+    expect(sent).to.deep.equal([[1, 1600], [2, 1600], [1, 0], [2, 0], [1, 3200]])
   })
 
   it('offer existing free capacity to an entry with new demand, until its start deadline has passed', () => {
--- a/packages/run-agent/src/capacity-updates.ts
+++ b/packages/run-agent/src/capacity-updates.ts
@@ -1,8 +1,13 @@
 import type * as clock from '@mustarddeck/clock'
 import * as runs from '@mustarddeck/runs'
 
-/** Time in ms after which free capacity offered to one waiting entry is offered to the next. */
-const HEAD_START_MS = 4
+/**
+ * Time in ms after which free capacity offered to one waiting entry is offered to the next; longer than a round trip to
+ * an entry under load, as the orders of two entries would otherwise race for it.
+ */
+const HEAD_START_MS = 20
+/** Share of the capacity by which the reported free capacity may be too high before an entry is updated immediately. */
+const STALE_SHARE = 0.25
 /** Update messages a second that an agent sends to all entries; a part of its budget for control messages. */
 const UPDATES_PER_S = 15
 /** Maximum delay in ms of updates to entries without waiting tasks. */
@@ -100,12 +105,19 @@
     cancelUpdate = undefined
     lastWorker = currentCapacity().worker
     for (const entry of entries.values()) {
-      if (mustWait(entry)) scheduleUpdate()
+      if (mustWait(entry)) scheduleUpdate(HEAD_START_MS)
       else sendUpdate(entry)
     }
   }
-  const scheduleUpdate = (): void => {
-    cancelUpdate ??= timers.after(Math.min(MAX_UPDATE_DELAY_MS, entries.size * 1000 / UPDATES_PER_S), update)
+  const scheduleUpdate = (delayMs = Math.min(MAX_UPDATE_DELAY_MS, entries.size * 1000 / UPDATES_PER_S)): void => {
+    cancelUpdate ??= timers.after(delayMs, update)
+  }
+  /** Updates entries that would otherwise place tasks on capacity that other entries' tasks have taken. */
+  const sendIfStale = ({ capacity }: runs.Worker, { millicores }: runs.Resources): void => {
+    for (const entry of entries.values()) {
+      const excess = (entry.lastSent?.free.millicores ?? 0) - millicores
+      if (excess >= STALE_SHARE * capacity.millicores && !mustWait(entry)) sendUpdate(entry)
+    }
   }
   const updateAllNow = (): void => {
     cancelUpdate?.()
@@ -140,8 +152,10 @@
       scheduleUpdate()
     },
     changed: () => {
-      if (currentCapacity().worker === lastWorker) scheduleUpdate()
-      else updateAllNow()
+      const { worker, free } = currentCapacity()
+      if (worker !== lastWorker) return updateAllNow()
+      if (worker) sendIfStale(worker, free)
+      scheduleUpdate()
     },
     piggyback: (link) => {
       const entry = entries.get(link)
