--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -71,9 +71,9 @@
     await pass(5)
     worker.faults.executionDelayMs = 0
     order(3)
-    await pass(60)
+    await pass(10)
     expect(ends()).to.deep.equal([[task(3), 'unstarted', 'no-room']])
-    await pass(840)
+    await pass(890)
     expect(ends().slice(1).map(([, end]) => end)).to.deep.equal(['unstarted', 'unstarted', 'unstarted'])
     order(4, 5, 6)
     await pass(1000)
@@ -87,7 +87,7 @@
     order(0)
     await pass(5)
     worker.faults.executionDelayMs = 0
-    await pass(100)
+    await pass(50)
     expect(ends().map(([, end]) => end)).to.deep.equal(['unstarted'])
   })
 
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -5,8 +5,12 @@
 import * as leases from './lease.ts'
 import * as capacityUpdates from './capacity-updates.ts'
 
-/** Timeout in ms of start and stop calls; the result is then uncertain. A call usually takes a few ms. */
-const CALL_TIMEOUT_MS = 80
+/**
+ * Timeout in ms of start and stop calls; the result is then uncertain. A call to the worker on the same machine usually
+ * takes a few ms. Load pattern: orders without an answer; until the timeout their tasks can't be started elsewhere, and
+ * the shortest jobs have about 100 ms to spare.
+ */
+const CALL_TIMEOUT_MS = 30
 /** Time in ms that a list call waits for a run to end; short enough for several list calls per lease. */
 const LIST_WAIT_MS = 150
 /** Time in ms beyond `LIST_WAIT_MS` after which a list call times out. */
@@ -123,6 +127,7 @@
       return finish(run, 'unstarted', reply.reason)
     }
     if (reply.kind === 'started') {
+      run.startConfirmedAt = timers.monotonic()
       if (run.state === 'ordered') run.state = 'running'
       return
     }
@@ -144,6 +149,7 @@
       amount: requested.amount,
       state: 'ordered',
       orderedAt: timers.monotonic(),
+      startConfirmedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false
     }
@@ -156,9 +162,9 @@
 
   /** Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. */
   const onWorkerRestart = (): void => {
-    for (const run of [...ledger.all()]) finish(run, 'lapsed', 'worker restarted')
     lastSeen = 0
     listedBornMs = undefined
+    for (const run of [...ledger.all()]) finish(run, 'lapsed', 'worker restarted')
     lease.reset()
     token.advance()
     updates.changed()
@@ -180,7 +186,7 @@
     }
     for (const run of [...ledger.all()]) {
       if (present.get(run.task) === run.run) continue
-      if (run.state === 'running' && run.orderedAt < askedAt - CALL_TIMEOUT_MS) finish(run, 'lapsed', 'not listed')
+      if (run.state === 'running' && run.startConfirmedAt! <= askedAt) finish(run, 'lapsed', 'not listed')
       if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) finish(run, 'unstarted', 'stopped early')
     }
     for (const { task, run } of running) if (ledger.get(task)?.run !== run) stopUnrecognised(task, run)
@@ -198,6 +204,7 @@
       amount: runs.NO_RESOURCES,
       state: 'stopping',
       orderedAt: timers.monotonic(),
+      startConfirmedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false
     }
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -15,6 +15,8 @@
   amount: runs.Resources
   state: State
   orderedAt: number
+  /** When the worker's confirmation of the start arrived; only listings requested from then on must show the run. */
+  startConfirmedAt: number | undefined
   stopConfirmedAt: number | undefined
   /** Whether a stop call is pending. */
   stopPending: boolean
