Do not say "not run" of a job whose earlier attempt has started

A caller whose connection broke submits its job again under the same key. If the entry refused that attempt for overload, it answered "not run", although it had started tasks of the first attempt itself, or an agent had just refused the order because a run of another entry's attempt was still there.

--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -262,6 +262,33 @@
     expect(site.violations).to.deep.equal([])
   })
 
+  // The caller's connection broke after its job had started, and it submits the job again during an overload.
+  it('does not answer not-run when an earlier attempt of the job has started on this entry', async () => {
+    const { entry, pass, submit } = await setUp({ workers: 1, slots: 1, runMs: 500 })
+    const first = submit()
+    await pass(50)
+    first.abandon()
+    await pass(200)
+    submit()
+    const answers: jobDispatcher.Outcome[] = []
+    entry.submit(first.job, (outcome) => { answers.push(outcome) })
+    await pass(1000)
+    expect(answers).to.deep.equal([{ kind: 'unknown', reason: 'earlier-attempt' }])
+  })
+
+  it('does not answer not-run when a worker still runs an earlier attempt of the job', async () => {
+    const { cut, entry, pass, submit } = await setUp({ workers: 1, runMs: 100 })
+    cut.add(1)
+    const { key, result } = submit({ callerTimeoutMs: 600 })
+    await pass(10)
+    entry.receive(1, {
+      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, run: 0, end: 'unstarted', ranMs: 0, reason: 'still-running'
+    })
+    entry.receive(1, { kind: 'room', sequence: 1, sharers: 1, free: { millicores: 0, memoryMb: 0, accelerators: 0 } })
+    await pass(600)
+    expect(result.answer).to.have.property('kind', 'unknown')
+  })
+
   it('answers a caller before its deadline, with an unknown outcome if a task has started', async () => {
     const { pass, submit, timers } = await setUp({ runMs: 3000 })
     const submittedAt = timers.monotonic()
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -4,6 +4,7 @@
 import * as admission from './admission.ts'
 import * as fleet from './agents.ts'
 import * as agentSelection from './agent-selection.ts'
+import * as begunJobs from './begun-jobs.ts'
 import * as runEstimates from './estimates.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import type * as interfaces from './interface.ts'
@@ -51,6 +52,7 @@
   /** Tasks that may be on a worker, including those of ended jobs. */
   const outstanding = new Map<runs.TaskId, jobs.TaskState>()
   const waiting = waitingJobs.create()
+  const begun = begunJobs.create()
   const discovery = fleetDiscovery.create(timers)
   let drainDeadline: number | undefined
   let placementScheduled = false
@@ -60,6 +62,7 @@
   const endJob = (state: jobs.JobState, outcome: interfaces.Outcome): void => {
     if (state.ended) return
     state.ended = true
+    if (jobs.hasBegun(state)) begun.add(state.job.key)
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
     for (const task of state.tasks) stopTask(task)
@@ -104,6 +107,8 @@
     releaseTask(task)
     if (message.end === 'unstarted') {
       if (message.reason === 'unwell') recordHealth(task, agent, true, message.ranMs)
+      // A run that an earlier attempt has ordered through another entry.
+      if (message.reason === 'still-running') job.mayHaveStarted = true
       options.onRefusedOrder(message.reason ?? 'unknown')
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
       if (message.reason !== 'no-room') task.avoidedAgents.add(agent.name)
@@ -210,8 +215,9 @@
   /** While agents are about to link, a job may start late as long as its caller still waits for the result. */
   const mayStillBeServed = ({ callerDeadline, criticalPathMs }: jobs.JobState, now: number): boolean =>
     discovery.isIncomplete() && now + criticalPathMs < callerDeadline - ANSWER_MARGIN_MS
-  const refuse = (job: jobs.JobState, reason: interfaces.NotRunReason): void =>
-    endJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
+  const refuse = (job: jobs.JobState, reason: interfaces.NotRunReason): void => endJob(job, begun.has(job.job.key)
+    ? { kind: 'unknown', reason: 'earlier-attempt' }
+    : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
   const reviewRun = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
     const expectedMs = estimateOf(task)
--- a/packages/job-dispatcher/src/interface.ts
+++ b/packages/job-dispatcher/src/interface.ts
@@ -48,7 +48,8 @@
 }
 
 export type NotRunReason = 'overload' | 'never-runnable' | 'draining'
-export type UnknownReason = 'patience' | 'caller-gone' | 'leaving'
+/** `earlier-attempt`: the job is refused, but a task of it may have started when it was submitted before. */
+export type UnknownReason = 'patience' | 'caller-gone' | 'leaving' | 'earlier-attempt'
 
 /** How a job ended. `not-run` guarantees that no task of it has started or will start. */
 export type Outcome =
