Keep a leaving worker out of use, whatever a delayed announcement says

Cause: an operators' story (after a restart, a server that had left was in use again), looked for here and found. A delayed announcement of the time before the worker began to leave made it usable again until the next one.

Change: within one incarnation a worker that leaves stays so.

--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -257,9 +257,11 @@
   timers.after(0, listContinuously)
   timers.after(REVIEW_MS, review)
   return {
-    workerAnnounced: (next, clockMs) => {
-      if (worker && next.bornMs < worker.bornMs) return log.warn('announcement-outdated', { worker: next.id })
-      const changed = worker?.id !== next.id || worker.bornMs !== next.bornMs
+    workerAnnounced: (announced, clockMs) => {
+      if (worker && announced.bornMs < worker.bornMs) return log.warn('announcement-outdated', { worker: announced.id })
+      const changed = worker?.id !== announced.id || worker.bornMs !== announced.bornMs
+      // A worker that leaves does not come back in this incarnation; the announcement was delayed.
+      const next = { ...announced, leaving: announced.leaving || (!changed && worker!.leaving) }
       if (changed) log.info('worker', { worker: next.id, bornMs: next.bornMs, millicores: next.capacity.millicores })
       if (!changed && worker && worker.leaving !== next.leaving) log.info('worker-leaving', { leaving: next.leaving })
       if (changed && listedBornMs !== undefined && listedBornMs !== next.bornMs) onWorkerRestart()
