--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -10,12 +10,9 @@
 import type * as interfaces from './interface.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
+import * as reviewTimer from './review-timer.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
-/** Interval in ms between reviews of waiting, lost and overdue tasks. */
-const REVIEW_MS = 20
-/** Interval in ms between reviews while no task waits. */
-const IDLE_REVIEW_MS = 60
 /** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
 const OVERDUE_FACTOR = 3
 const MIN_OVERDUE_MS = 250
@@ -231,7 +228,6 @@
   }
 
   const review = (): void => {
-    reviewAt = Infinity
     const now = timers.monotonic()
     for (const job of [...byKey.values()]) endIfLate(job, now)
     for (const task of [...outstanding.values()]) {
@@ -242,21 +238,8 @@
     }
     place()
     demandNotifier.announce(agents.all(), waiting)
-    scheduleReview()
   }
-  /** Monotonic ms at which the next review is due. */
-  let reviewAt = Infinity
-  let cancelReview: clock.Cancellation = () => {}
-  /** Schedules the next review; brings it forward if a task has begun to wait. */
-  const scheduleReview = (): void => {
-    const delayMs = waiting.size > 0 ? REVIEW_MS : IDLE_REVIEW_MS
-    const dueAt = timers.monotonic() + delayMs
-    if (reviewAt <= dueAt) return
-    reviewAt = dueAt
-    cancelReview()
-    cancelReview = timers.after(delayMs, review)
-  }
-  scheduleReview()
+  const reviews = reviewTimer.create({ timers, review, isWaiting: () => waiting.size > 0 })
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
     jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
@@ -292,7 +275,7 @@
     if (state.ended) return
     waiting.add(state)
     place()
-    if (waiting.size > 0) scheduleReview()
+    reviews.hasten()
   }
 
   const markLost = (task: jobs.TaskState, mayRunUntil: number): void => {
@@ -356,7 +339,7 @@
         else refuse(job, 'draining')
       }
     },
-    stop: () => cancelReview()
+    stop: () => reviews.stop()
   }
 
   /** Releases lost tasks of the agent's former incarnation: it reports its worker only once no earlier run is left. */
