Log how long stops take, which tasks were lost and how long a suspension was

The lines could not tell why a task had two runs: neither how long a run went on after the decision to stop it, nor until when an entry left a task of a lost agent alone, nor whether a pause was counted by the monotonic clock. run-end says stopMs, and warns if that exceeds what entries rely on; tasks-lost and uncountedMs are new. No change of behaviour.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -17,8 +17,6 @@
 const WAITING_REPORT_MS = 1500
 /** Delay in ms before a failed write of the entry's own row is retried. */
 const ANNOUNCE_RETRY_MS = 300
-/** Margin in ms for the stop orders that an agent sends when it loses its entry. */
-const STOP_MARGIN_MS = 60
 
 export interface Options {
   name: string
@@ -70,7 +68,7 @@
     timers,
     log,
     zone,
-    lapseAfterMs: runAgent.LAPSE_AFTER_MS + STOP_MARGIN_MS,
+    lapseAfterMs: runAgent.STOPPED_AFTER_MS,
     send: (link, message) => links.send(link, message),
     onJobEnd: ({ queue }, outcome, tookMs) => {
       measured.count('mustarddeck_jobs_ended_total', outcome.kind)
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -49,8 +49,8 @@
   const { hello, seeds, store, timers, log, removesStaleRows, maxLinks, isIdle } = options
 
   const generator = random.create(seedOf(hello.life))
-  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
-    log.warn('pause', { gapMs })
+  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, ({ gapMs, uncountedMs }) => {
+    log.warn('pause', { gapMs, uncountedMs })
     options.onPause()
     links.closeAll('process stood still')
   })
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -317,7 +317,11 @@
       const agent = agents.down(link)
       if (!agent) return
       demandNotifier.forget(agent)
-      for (const task of agent.tasks.values()) markLost(task, trustedUntil + lapseAfterMs)
+      const mayRunUntil = trustedUntil + lapseAfterMs
+      const waitMs = Math.round(mayRunUntil - timers.monotonic())
+      const ids = [...agent.tasks.keys()]
+      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
+      for (const task of agent.tasks.values()) markLost(task, mayRunUntil)
     },
     receive: (link, message) => {
       const agent = agents.get(link)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -92,9 +92,13 @@
   const finish = (run: runLedger.Run, end: runs.RunEnd, reason?: string): void => {
     if (ledger.get(run.task) !== run) return
     ledger.remove(run)
-    const ranMs = Math.round(timers.monotonic() - run.orderedAt)
+    const now = timers.monotonic()
+    const ranMs = Math.round(now - run.orderedAt)
+    const stopMs = run.stopRequestedAt === undefined ? undefined : Math.round(now - run.stopRequestedAt)
     onRunEnd(end, ranMs)
-    log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason })
+    // Its entry may have started the task elsewhere.
+    const writeLog = stopMs !== undefined && stopMs > leases.STOPPED_AFTER_MS ? log.warn : log.info
+    writeLog('run-end', { task: run.task, run: run.run, end, ranMs, stopMs, reason })
     updates.runEnded()
     sendToEntry(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
     if (whenEmpty && ledger.size() === 0) whenEmpty()
@@ -107,6 +111,7 @@
   }
 
   const stopRun = async (run: runLedger.Run): Promise<void> => {
+    run.stopRequestedAt ??= timers.monotonic()
     if (run.state !== 'uncertain') run.state = 'stopping'
     if (run.stopPending || run.stopConfirmedAt !== undefined) return
     run.stopPending = true
@@ -150,6 +155,7 @@
       state: 'ordered',
       orderedAt: timers.monotonic(),
       startConfirmedAt: undefined,
+      stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false
     }
@@ -205,6 +211,7 @@
       state: 'stopping',
       orderedAt: timers.monotonic(),
       startConfirmedAt: undefined,
+      stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false
     }
--- a/packages/run-agent/src/index.ts
+++ b/packages/run-agent/src/index.ts
@@ -1,2 +1,2 @@
 export * from './agent.ts'
-export { LEASE_MS, LAPSE_AFTER_MS } from './lease.ts'
+export { LEASE_MS, LAPSE_AFTER_MS, STOPPED_AFTER_MS } from './lease.ts'
--- a/packages/run-agent/src/lease.ts
+++ b/packages/run-agent/src/lease.ts
@@ -9,6 +9,10 @@
 
 /** Longest time in ms from the last extension of a lease to the end of all runs under it. */
 export const LAPSE_AFTER_MS = Math.ceil(LEASE_MS * (1 + MAX_CLOCK_DRIFT)) + EXPIRY_DELAY_MS
+/** Time in ms within which a worker usually answers a stop call; allows for one call that is lost. */
+const STOP_ANSWER_MS = 60
+/** Longest time in ms from the decision to stop a run to its end. */
+export const STOPPED_AFTER_MS = STOP_ANSWER_MS + LAPSE_AFTER_MS
 
 /** Tracks a worker's clock and the latest lease requested from it. */
 export interface Lease {
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -17,6 +17,8 @@
   orderedAt: number
   /** When the worker's confirmation of the start arrived; only listings requested from then on must show the run. */
   startConfirmedAt: number | undefined
+  /** When the agent was first asked, or decided, to stop the run. */
+  stopRequestedAt: number | undefined
   stopConfirmedAt: number | undefined
   /** Whether a stop call is pending. */
   stopPending: boolean
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -172,7 +172,7 @@
     let offsetMs = 0
     const stepping = { ...virtual, now: () => new Date(virtual.now().getTime() + offsetMs) }
     const gaps: number[] = []
-    const watch = sessions.watch(stepping, 300, (gapMs) => gaps.push(gapMs))
+    const watch = sessions.watch(stepping, 300, ({ gapMs }) => gaps.push(gapMs))
     virtual.advance(1000)
     expect(gaps).to.deep.equal([])
     offsetMs = 2000
