--- a/packages/worker-stand-in/src/worker.ts
+++ b/packages/worker-stand-in/src/worker.ts
@@ -2,7 +2,7 @@
 import * as runs from '@mustarddeck/runs'
 import type * as sites from './site.ts'
 
-/** Round trip time in ms of a call to the worker. */
+/** Usual round trip time in ms of a call to the worker. */
 const CALL_MS = 1
 /** Time in ms from a stop call to the end of the run. */
 const STOP_MS = 30
@@ -15,6 +15,12 @@
 export interface Faults {
   /** Delay in ms after which start and stop calls take effect, unanswered; 0 to execute and answer them immediately. */
   executionDelayMs: number
+  /** Start and stop calls are neither executed nor answered; list calls are answered. */
+  ordersLost: boolean
+  /** Round trip time in ms of start and stop calls. */
+  callMs: number
+  /** Time in ms by which responses to list calls arrive late. */
+  listingDelayMs: number
   /** The worker answers no calls and executes none. */
   unresponsive: boolean
   /** Start calls are refused with an error. */
@@ -52,7 +58,15 @@
 }
 
 export const create = ({ id, capacity, resourcesOf, runMsOf, site, timers }: Settings): StandIn => {
-  const faults: Faults = { executionDelayMs: 0, unresponsive: false, unhealthy: false, tasks: 'succeed' }
+  const faults: Faults = {
+    executionDelayMs: 0,
+    ordersLost: false,
+    callMs: CALL_MS,
+    listingDelayMs: 0,
+    unresponsive: false,
+    unhealthy: false,
+    tasks: 'succeed'
+  }
   const running = new Map<runs.TaskId, ActiveRun>()
   const highestRuns = new Map<runs.TaskId, number>()
   let ended: runs.Listing['ended'] = []
@@ -129,12 +143,14 @@
   const deliver = async <Reply extends { kind: string }>(
     timeoutMs: number, run: () => Reply
   ): Promise<Reply | { kind: 'silent' }> => {
-    const { unresponsive, executionDelayMs } = faults
-    if (!unresponsive && executionDelayMs === 0) {
-      await wait(CALL_MS)
+    const { unresponsive, ordersLost, executionDelayMs, callMs } = faults
+    const isLost = unresponsive || ordersLost
+    if (!isLost && executionDelayMs === 0) {
+      await wait(callMs)
       return run()
     }
-    if (!unresponsive) timers.after(executionDelayMs, run)
+    // A restart of the worker does not cancel the call: its new incarnation executes it.
+    if (!isLost) timers.after(executionDelayMs, run)
     await wait(timeoutMs)
     return { kind: 'silent' }
   }
@@ -153,19 +169,25 @@
     override async list (
       _worker: runs.WorkerId | undefined, options: runs.ListOptions
     ): Promise<runs.ListReply> {
+      const askedAt = timers.monotonic()
       await wait(CALL_MS)
       if (faults.unresponsive) {
         await wait(options.timeoutMs)
         return { kind: 'silent' }
       }
       if (options.token < token) return { kind: 'refused', reason: 'outdated-token' }
+      const calledIncarnation = bornMs
       token = options.token
       ended = ended.filter(({ number }) => number > options.lastSeen)
       extendLease(options.leaseUntilMs)
       if (ended.length === 0 && options.waitMs > 0) {
         await Promise.race([wait(options.waitMs), new Promise<void>((resolve) => waiters.push(resolve))])
       }
-      return { kind: 'listing', listing: snapshot() }
+      // The connection ended with the incarnation that was called.
+      if (bornMs !== calledIncarnation) return { kind: 'silent' }
+      const listing = snapshot()
+      if (faults.listingDelayMs > 0) await wait(faults.listingDelayMs)
+      return timers.monotonic() - askedAt < options.timeoutMs ? { kind: 'listing', listing } : { kind: 'silent' }
     }
   }
 
