Extend no lease while a run that has to end cannot be stopped

Callers saw a task run twice at the same time: its entry started it on another worker while the first run went on.

An agent that loses an entry, or that finds runs of its former incarnation, stops those runs. The stop may stay unanswered, while listings are answered and go on extending the lease of all runs on the worker. The entry counts on the end of the run one lease after the loss of the agent; nothing enforced it but the stop. An agent now requests no extension from the moment a run has to end until the worker has confirmed its stop, so that the run lapses in time in any case. Orders in between are started under the lease that was requested last; if that ends within 200 ms, the agent offers no capacity.

Class of fault: a bound that one process relies on and that another one keeps only if its calls are answered.

Both tests failed before: after a lease without an answer to a stop, the run was still there.

--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -188,6 +188,30 @@
     expect(ends().map(([, end]) => end)).to.deep.equal(['lapsed'])
   })
 
+  // Its listings go on extending the lease of runs that it cannot stop; callers see the task run twice.
+  it('lets the runs of a disconnected entry lapse in time when the worker answers listings but no stops', async () => {
+    const { agent, order, pass, worker } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(100)
+    worker.faults.ordersLost = true
+    agent.linkDown(LINK)
+    await pass(agents.LAPSE_AFTER_MS)
+    expect(worker.running()).to.deep.equal([])
+  })
+
+  // Its entries restart the tasks of its former incarnation that long after the end of the process.
+  it('lets the runs of its former incarnation lapse in time when the worker answers listings but no stops', async () => {
+    const { agent, order, pass, startAgent, worker } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(300)
+    agent.stop()
+    worker.faults.ordersLost = true
+    await pass(100)
+    startAgent()
+    await pass(agents.LAPSE_AFTER_MS - 100)
+    expect(worker.running()).to.deep.equal([])
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -72,8 +72,17 @@
   let wasReady = false
   let whenEmpty: (() => void) | undefined
 
+  /**
+   * An extension applies to all runs on the worker. It would keep a run that cannot be stopped alive beyond the time
+   * after which other processes start its task again.
+   */
+  const mayExtendLease = (): boolean => !ledger.hasUnconfirmedStop()
+  /** Expiry of the lease with which a run is started now. */
+  const orderLease = (): number | undefined => mayExtendLease() ? lease.nextExpiry() : lease.requestedExpiry()
+
   const isReady = (): boolean => worker !== undefined && !worker.leaving && whenEmpty === undefined &&
-    listedBornMs === worker.bornMs && !ledger.hasUnrecognised() && timers.monotonic() - listedAt < UNRESPONSIVE_AFTER_MS
+    listedBornMs === worker.bornMs && !ledger.hasUnrecognised() && orderLease() !== undefined &&
+    timers.monotonic() - listedAt < UNRESPONSIVE_AFTER_MS
 
   const updates = capacityUpdates.create({
     timers,
@@ -110,8 +119,12 @@
     queueMicrotask(() => updates.piggyback(link))
   }
 
-  const stopRun = async (run: runLedger.Run): Promise<void> => {
+  /** Makes sure that the run ends: the worker's lease is not extended until the stop is confirmed. */
+  const endRun = (run: runLedger.Run): void => {
     run.stopRequestedAt ??= timers.monotonic()
+    stopRun(run)
+  }
+  const stopRun = async (run: runLedger.Run): Promise<void> => {
     if (run.state !== 'uncertain') run.state = 'stopping'
     if (run.stopPending || run.stopConfirmedAt !== undefined) return
     run.stopPending = true
@@ -145,7 +158,7 @@
     if (!isReady() || !worker) return refuse(link, requested.task, 'not-ready')
     if (ledger.get(requested.task)) return refuse(link, requested.task, 'still-running')
     if (!runs.fits(requested.amount, ledger.free())) return refuse(link, requested.task, 'no-room')
-    const leaseUntilMs = lease.nextExpiry()
+    const leaseUntilMs = orderLease()
     if (leaseUntilMs === undefined) return refuse(link, requested.task, 'not-ready')
     const run: runLedger.Run = {
       task: requested.task,
@@ -216,7 +229,7 @@
       stopPending: false
     }
     ledger.add(unrecognised)
-    stopRun(unrecognised)
+    endRun(unrecognised)
     updates.changed()
   }
 
@@ -224,10 +237,11 @@
     const askedAt = timers.monotonic()
     const tokenUsed = token.current()
     // An unresponsive worker may still receive an extension, which would keep its runs uncertain for longer.
-    const leaseUntilMs = askedAt - listedAt < UNRESPONSIVE_AFTER_MS ? lease.nextExpiry() : undefined
+    const isResponsive = askedAt - listedAt < UNRESPONSIVE_AFTER_MS
+    const leaseUntilMs = isResponsive && mayExtendLease() ? lease.nextExpiry() : undefined
     if (leaseUntilMs !== undefined) lease.recordRequest(leaseUntilMs)
     // The first listing of an incarnation must not wait: it provides the worker's clock.
-    const waitMs = leaseUntilMs === undefined || ledger.hasUnrecognised() ? 0 : waitLimitMs
+    const waitMs = lease.nextExpiry() === undefined || !isResponsive || ledger.hasUnrecognised() ? 0 : waitLimitMs
     const timeoutMs = LIST_WAIT_MS + LIST_GRACE_MS
     const reply = await calls.list(worker?.id, { token: tokenUsed, lastSeen, leaseUntilMs, waitMs, timeoutMs })
     if (stopped) return
@@ -292,7 +306,7 @@
       const entry = entryByLink.get(link)
       entryByLink.delete(link)
       updates.down(link)
-      for (const run of ledger.all()) if (entry !== undefined && run.entry === entry) stopRun(run)
+      for (const run of ledger.all()) if (entry !== undefined && run.entry === entry) endRun(run)
     },
     receive: (link, message) => {
       const entry = entryByLink.get(link)
@@ -305,7 +319,7 @@
       }
       for (const task of message.tasks) {
         const run = ledger.get(task)
-        if (run?.entry === entry) stopRun(run)
+        if (run?.entry === entry) endRun(run)
       }
     },
     drain: (done) => {
--- a/packages/run-agent/src/lease.ts
+++ b/packages/run-agent/src/lease.ts
@@ -2,6 +2,8 @@
 
 /** Lease in ms requested from the worker; below the worker's maximum, so that lost runs end before callers retry. */
 export const LEASE_MS = 600
+/** Shortest remaining lease in ms with which a run is started. */
+const MIN_LEASE_MS = 200
 /** Maximum fraction, set by the protocol, by which a worker's clock may be slower than the agent's. */
 const MAX_CLOCK_DRIFT = 0.02
 /** Time in ms within which a worker ends runs after their lease has expired. */
@@ -9,15 +11,17 @@
 
 /** Longest time in ms from the last extension of a lease to the end of all runs under it. */
 export const LAPSE_AFTER_MS = Math.ceil(LEASE_MS * (1 + MAX_CLOCK_DRIFT)) + EXPIRY_DELAY_MS
-/** Time in ms within which a worker usually answers a stop call; allows for one call that is lost. */
-const STOP_ANSWER_MS = 60
-/** Longest time in ms from the decision to stop a run to its end. */
-export const STOPPED_AFTER_MS = STOP_ANSWER_MS + LAPSE_AFTER_MS
+/** Margin in ms for the message or the timer that makes an agent stop a run. */
+const STOP_MARGIN_MS = 60
+/** Longest time in ms from the decision that a run must end, or from the loss of its agent, to its end. */
+export const STOPPED_AFTER_MS = STOP_MARGIN_MS + LAPSE_AFTER_MS
 
 /** Tracks a worker's clock and the latest lease requested from it. */
 export interface Lease {
   /** Expiry in ms on the worker's clock that the next call requests; undefined while the clock is unknown. */
   nextExpiry (): number | undefined
+  /** Latest expiry that was requested, on the worker's clock; undefined if it is too close for a new run. */
+  requestedExpiry (): number | undefined
   /** Records a lease requested by a call, whether or not the call is answered. */
   recordRequest (untilMs: number): void
   /** Records a reading in ms of the worker's clock. */
@@ -32,8 +36,17 @@
   let reading: { clockMs: number, at: number } | undefined
   let requestedUntil = -Infinity
 
+  const workerClock = (): number | undefined => reading && reading.clockMs + (timers.monotonic() - reading.at)
+
   return {
-    nextExpiry: () => reading && Math.floor(reading.clockMs + (timers.monotonic() - reading.at) + LEASE_MS),
+    nextExpiry: () => {
+      const clockMs = workerClock()
+      return clockMs === undefined ? undefined : Math.floor(clockMs + LEASE_MS)
+    },
+    requestedExpiry: () => {
+      const clockMs = workerClock()
+      return clockMs === undefined || requestedUntil - clockMs < MIN_LEASE_MS ? undefined : requestedUntil
+    },
     recordRequest: (untilMs) => { requestedUntil = Math.max(requestedUntil, untilMs) },
     recordClock: (clockMs) => { reading = { clockMs, at: timers.monotonic() } },
     expiredBy: () => reading === undefined || requestedUntil === -Infinity
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -17,7 +17,7 @@
   orderedAt: number
   /** When the worker's confirmation of the start arrived; only listings requested from then on must show the run. */
   startConfirmedAt: number | undefined
-  /** When the agent was first asked, or decided, to stop the run. */
+  /** When it was decided that the run has to end. Other processes count on its end from then on. */
   stopRequestedAt: number | undefined
   stopConfirmedAt: number | undefined
   /** Whether a stop call is pending. */
@@ -32,6 +32,8 @@
   free (): runs.Resources
   /** True while the worker has an unrecognised run, whose size is unknown. */
   hasUnrecognised (): boolean
+  /** True while a run has to end and the worker has not confirmed its stop. */
+  hasUnconfirmedStop (): boolean
   resize (capacity: runs.Resources): void
   add (run: Run): void
   remove (run: Run): void
@@ -61,6 +63,12 @@
     size: () => byTask.size,
     free: () => runs.subtract(capacity, used),
     hasUnrecognised: () => unrecognisedCount > 0,
+    hasUnconfirmedStop: () => {
+      for (const { stopRequestedAt, stopConfirmedAt } of byTask.values()) {
+        if (stopRequestedAt !== undefined && stopConfirmedAt === undefined) return true
+      }
+      return false
+    },
     resize: (amount) => { capacity = amount },
     add: (run) => {
       byTask.set(run.task, run)
