Check the trust in entries before an order and before a lease is extended

Callers can see a task run twice when the machine of an agent is busy: its entry gives up a silent link, and starts the task elsewhere a lease after the time at which the agent must have given it up too. The agent gave it up in a timer, which is late while the process has other work; until then listings extended the lease, and orders that had waited were started.

An agent now closes links whose trust has ended before it extends a lease or starts a task, and a link closes at the first frame whose echo is too old, before its messages are handled.

Evidence: 'ends on both sides when it falls silent one way' failed once beside other load (load average 16 on 8 cores): the agent closed 39 ms after the time that the entry counted on. That comparison of the times of two timers is replaced by one of the times at which each side would still act, which holds on a busy machine too; that both sides close by themselves stays a test.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -53,6 +53,7 @@
     timers,
     log,
     send: (link, message) => links.send(link, message),
+    closeExpiredLinks: () => links.closeExpired(),
     onRunEnd: (end, ranMs) => {
       measured.count('mustarddeck_runs_ended_total', end)
       measured.time(ranMs, end)
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -23,12 +23,15 @@
   const messages: runs.FromAgent[] = []
   const runEnds: runs.RunEnd[] = []
   const log = logging.create({ level: 'error' })
+  /** Links that the entry no longer trusts, although the agent has not noticed. */
+  const expiredLinks: number[] = []
   const startAgent = () => {
     const agent = agents.create({
       calls: worker.calls,
       timers,
       log,
       send: (_link, message) => messages.push(message),
+      closeExpiredLinks: () => { for (const link of expiredLinks.splice(0)) agent.linkDown(link) },
       onRunEnd: (end) => runEnds.push(end)
     })
     agent.linkUp(LINK, 'entry-1')
@@ -47,7 +50,7 @@
   })
   const ends = () => messages.flatMap((message) => message.kind === 'ended' ? [[message.task, message.end, message.reason]] : [])
   const latestReport = () => messages.findLast((message) => message.kind === 'room')
-  return { agent, ends, order, pass, latestReport, runEnds, site, startAgent, messages, worker }
+  return { agent, ends, expiredLinks, order, pass, latestReport, runEnds, site, startAgent, messages, worker }
 }
 
 describe('agent of a worker', () => {
@@ -199,6 +202,17 @@
     expect(worker.running()).to.deep.equal([])
   })
 
+  // On a busy machine the timer that closes a link is late, while listings go on.
+  it('lets the runs of an entry lapse in time when it notices late that the entry no longer trusts it', async () => {
+    const { expiredLinks, order, pass, worker } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(100)
+    worker.faults.ordersLost = true
+    expiredLinks.push(LINK)
+    await pass(agents.LAPSE_AFTER_MS)
+    expect(worker.running()).to.deep.equal([])
+  })
+
   // Its entries restart the tasks of its former incarnation that long after the end of the process.
   it('lets the runs of its former incarnation lapse in time when the worker answers listings but no stops', async () => {
     const { agent, order, pass, startAgent, worker } = await setUp({ runMs: 5000 })
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -52,11 +52,13 @@
   timers: clock.Timers
   log: log.Log
   send (link: number, message: runs.FromAgent): void
+  /** Called before a lease is extended; calls `linkDown` for entries that may have given up this agent. */
+  closeExpiredLinks (): void
   /** Called once for each run that held capacity; `ranMs` is the time from the order to the end. */
   onRunEnd (end: runs.RunEnd, ranMs: number): void
 }
 
-export const create = ({ calls, timers, log, send, onRunEnd }: Options): Agent => {
+export const create = ({ calls, timers, log, send, closeExpiredLinks, onRunEnd }: Options): Agent => {
   const ledger = runLedger.create()
   const lease = leases.create(timers)
   const token = leases.createFencingToken(timers)
@@ -234,6 +236,7 @@
   }
 
   const list = async (waitLimitMs: number): Promise<void> => {
+    closeExpiredLinks()
     const askedAt = timers.monotonic()
     const tokenUsed = token.current()
     // An unresponsive worker may still receive an extension, which would keep its runs uncertain for longer.
@@ -309,6 +312,7 @@
       for (const run of ledger.all()) if (entry !== undefined && run.entry === entry) endRun(run)
     },
     receive: (link, message) => {
+      if (message.kind === 'start') closeExpiredLinks()
       const entry = entryByLink.get(link)
       if (entry === undefined) return
       if (message.kind === 'want') return updates.setDemand(link, message.urgency)
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -6,7 +6,13 @@
 import * as sessions from './index.ts'
 
 const HOST = '127.0.0.1'
-const timers = clock.createSystem({ keepAlive: false })
+/** Time in ms by which timers of a busy machine are late. */
+const LATE_MS = 2500
+const systemTimers = clock.createSystem({ keepAlive: false })
+/** Timers of a busy machine. */
+const lateTimers: clock.Timers = {
+  ...systemTimers, after: (delayMs, callback) => systemTimers.after(delayMs + LATE_MS, callback)
+}
 const log = logging.create({ level: 'error' })
 
 interface Peer {
@@ -17,7 +23,7 @@
   down: Array<{ at: number, trustedUntil: number }>
 }
 
-const createPeer = (name: string, pace: sessions.Pace = sessions.PROMPT): Peer => {
+const createPeer = (name: string, pace: sessions.Pace = sessions.PROMPT, timers: clock.Timers = systemTimers): Peer => {
   const peer: Omit<Peer, 'links'> = { up: [], received: [], down: [] }
   const links = sessions.create<unknown>({
     hello: { role: name, name, life: `${name}-life`, address: '' },
@@ -122,15 +128,68 @@
 
   // The connection is not reset in this case, and the other direction may still work.
   for (const direction of ['toServer', 'toClient'] as const) {
-    it(`ends on both sides when it falls silent ${direction === 'toServer' ? 'one way' : 'the other way'}`, async () => {
+    const way = direction === 'toServer' ? 'one way' : 'the other way'
+
+    it(`ends on both sides when it falls silent ${way}`, async () => {
       proxy.cut[direction] = true
       await until(() => entry.down.length === 1 && agent.down.length === 1)
+    })
+
+    it(`is trusted by neither side for longer than the other counts on when it falls silent ${way}`, async () => {
+      const trustedAt = new Map<Peer, number>()
+      const act = (peer: Peer): void => {
+        const now = systemTimers.monotonic()
+        peer.links.closeExpired()
+        if (peer.down.length === 0) trustedAt.set(peer, now)
+      }
+      proxy.cut[direction] = true
+      await until(() => {
+        act(entry)
+        act(agent)
+        return entry.down.length === 1 && agent.down.length === 1
+      })
       const [fromEntry, fromAgent] = [entry.down[0]!, agent.down[0]!]
-      expect(fromAgent.at, 'the agent acts for the entry').to.be.at.most(fromEntry.trustedUntil)
-      expect(fromEntry.at, 'the entry acts for the agent').to.be.at.most(fromAgent.trustedUntil)
+      expect(trustedAt.get(agent), 'the agent acts for the entry').to.be.at.most(fromEntry.trustedUntil)
+      expect(trustedAt.get(entry), 'the entry acts for the agent').to.be.at.most(fromAgent.trustedUntil)
     })
   }
 
+  describe('on a busy machine, whose timers are late,', () => {
+    let busyEntry: Peer
+    let busyAgent: Peer
+    let upAt: number
+
+    beforeEach(async () => {
+      const port = await freePort()
+      busyEntry = createPeer('busy entry', sessions.PROMPT, lateTimers)
+      busyAgent = createPeer('busy agent', sessions.PROMPT, lateTimers)
+      await busyEntry.links.listen(HOST, port)
+      busyAgent.links.dial(`${HOST}:${port}`)
+      await until(() => busyEntry.up.length === 1 && busyAgent.up.length === 1)
+      upAt = systemTimers.monotonic()
+    })
+    afterEach(() => {
+      busyAgent.links.stop()
+      busyEntry.links.stop()
+    })
+
+    it('ends when an action asks for it after the trust of the peer', async () => {
+      busyAgent.links.closeExpired()
+      expect(busyAgent.down).to.deep.equal([])
+      await until(() => systemTimers.monotonic() - upAt > sessions.PROMPT.timeoutMs)
+      busyAgent.links.closeExpired()
+      expect(busyAgent.down).to.have.length(1)
+    })
+
+    it('ends at the first message that comes after the trust of the peer', async () => {
+      await until(() => {
+        busyEntry.links.send(busyEntry.up[0]!.id, 'start')
+        return busyAgent.down.length === 1
+      })
+      expect(busyAgent.down[0]!.at - upAt).to.be.below(LATE_MS / 2)
+    })
+  })
+
   it('is dialed again after it is closed', async () => {
     entry.links.closeAll('test')
     await until(() => agent.up.length === 2)
@@ -149,7 +208,7 @@
     two.links.dial(relaxedProxy.address)
     await until(() => one.up.length === 1 && two.up.length === 1)
     relaxedProxy.cut.toServer = true
-    const cutAt = timers.monotonic()
+    const cutAt = systemTimers.monotonic()
     await until(() => one.down.length === 1)
     expect(one.down[0]!.at - cutAt).to.be.above(sessions.RELAXED.timeoutMs - 2 * sessions.RELAXED.heartbeatMs)
     two.links.stop()
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -79,6 +79,11 @@
   forget (address: string): void
   send (id: number, message: Message): void
   close (id: number, reason: string): void
+  /**
+   * Closes the links to peers that are no longer trusted to be alive. On a busy machine the timers that close them are
+   * late, so this is called before an action that the peer may no longer count on.
+   */
+  closeExpired (): void
   /** Closes all links immediately, for example after a pause of the process. */
   closeAll (reason: string): void
   stop (): void
@@ -175,6 +180,8 @@
     const frame: Frame<Message> = [link.sentAt, link.peerClock, messages]
     write(link, frame)
   }
+  const isExpired = ({ session, pace, echoedAt }: Link<Message>, now: number): boolean =>
+    session !== undefined && now - echoedAt > echoTimeoutMs(pace, session.dialed)
   /** Closes the link when this end's trust in the peer ends. The dialing end requests an echo before that. */
   const onTimer = (link: Link<Message>): void => {
     beforeInput()
@@ -184,9 +191,9 @@
       if (now >= link.helloDeadline) return close(link, 'handshake timeout')
       return schedule(link, link.helloDeadline - now)
     }
+    if (isExpired(link, now)) return close(link, 'peer is silent')
     const ageMs = now - link.echoedAt
     const trustMs = echoTimeoutMs(link.pace, link.session.dialed)
-    if (ageMs > trustMs) return close(link, 'peer is silent')
     if (!link.session.dialed) return schedule(link, trustMs - ageMs + 1)
     if (ageMs < link.pace.heartbeatMs) return schedule(link, link.pace.heartbeatMs - ageMs)
     flush(link)
@@ -250,6 +257,8 @@
     link.peerClock = sentAt
     // An echo from the future would keep the link up after the peer has fallen silent.
     if (echo <= link.receivedAt) link.echoedAt = Math.max(link.echoedAt, echo)
+    // The frame may have waited for longer than the peer trusts this end.
+    if (isExpired(link, link.receivedAt)) return close(link, 'peer is silent')
     for (const message of messages) if (!link.closed) handler.message(link.session, message)
     if (!link.session.dialed && !link.flushScheduled && needsEcho(link, messages)) flush(link)
   }
@@ -328,6 +337,10 @@
       const link = links.get(id)
       if (link) close(link, reason)
     },
+    closeExpired: () => {
+      const now = timers.monotonic()
+      for (const link of [...links.values()]) if (isExpired(link, now)) close(link, 'peer is silent')
+    },
     closeAll: (reason) => { for (const link of [...links.values()]) close(link, reason) },
     stop: () => {
       stopped = true
