Keep unanswered orders open when their worker restarts under its id

Callers could see a task run twice: an order without an answer was executed after a restart of the worker, before the worker had seen the agent's next fencing token. The agent had already reported the run as lapsed, and its entry had started the task on another worker.

A restart now ends only the runs whose start was confirmed. The others stay uncertain until the new incarnation has confirmed their stop and listed its runs; stops that the former incarnation confirmed no longer count. Such a run is reported as lapsed, since it may have run before the restart. A worker with another id refuses orders to the former one, so all runs end with it.

Not closed: the agent process ends as well while such an order is on its way, and the worker is back before the next process.

--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -226,6 +226,23 @@
     expect(worker.running()).to.deep.equal([])
   })
 
+  // The new incarnation of the worker has not seen the new fencing token yet when the late order reaches it.
+  it('reports no run as ended whose unanswered order the restarted worker may still execute', async () => {
+    const { agent, ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    worker.faults.executionDelayMs = 60
+    order(0)
+    await pass(5)
+    worker.faults.executionDelayMs = 0
+    worker.faults.ordersLost = true
+    await pass(35)
+    worker.restart()
+    agent.workerAnnounced(worker.worker(), undefined)
+    for (let elapsed = 0; elapsed < 1500; elapsed++) {
+      await pass(1)
+      if (ends().length > 0) expect(worker.running(), `${elapsed} ms after the restart`).to.deep.equal([])
+    }
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -130,8 +130,11 @@
     if (run.state !== 'uncertain') run.state = 'stopping'
     if (run.stopPending || run.stopConfirmedAt !== undefined) return
     run.stopPending = true
-    const reply = await calls.stop(worker?.id, run, token.current(), CALL_TIMEOUT_MS)
+    const tokenUsed = token.current()
+    const reply = await calls.stop(worker?.id, run, tokenUsed, CALL_TIMEOUT_MS)
     run.stopPending = false
+    // The incarnation of the worker that confirmed the stop may be gone.
+    if (tokenUsed !== token.current()) return
     // Only listings requested from now on show whether the run is still there.
     if (reply.kind === 'acknowledged') {
       run.stopConfirmedAt = timers.monotonic()
@@ -172,7 +175,8 @@
       startConfirmedAt: undefined,
       stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
-      stopPending: false
+      stopPending: false,
+      outlivedWorker: false
     }
     ledger.add(run)
     lease.recordRequest(leaseUntilMs)
@@ -181,18 +185,26 @@
     onStartReply(run, await calls.start(worker.id, order, CALL_TIMEOUT_MS))
   }
 
-  /** Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. */
-  const onWorkerRestart = (): void => {
+  /**
+   * Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. Under the same id,
+   * an unanswered order may still start its task, since the worker has not seen a fencing token yet.
+   */
+  const onWorkerRestart = (isSameId: boolean): void => {
     lastSeen = 0
     listedBornMs = undefined
-    for (const run of [...ledger.all()]) finish(run, 'lapsed', 'worker restarted')
     lease.reset()
     token.advance()
+    for (const run of [...ledger.all()]) {
+      if (isSameId && run.startConfirmedAt === undefined && run.entry !== undefined) {
+        Object.assign(run, { state: 'uncertain', stopConfirmedAt: undefined, outlivedWorker: true })
+        stopRun(run)
+      } else finish(run, 'lapsed', 'worker restarted')
+    }
     updates.changed()
   }
 
   const onListing = ({ clockMs, bornMs, running, ended }: runs.Listing, askedAt: number): void => {
-    if (listedBornMs !== undefined && bornMs !== listedBornMs) onWorkerRestart()
+    if (listedBornMs !== undefined && bornMs !== listedBornMs) onWorkerRestart(true)
     if (worker && worker.bornMs > bornMs) return
     const wasNotReady = !isReady()
     listedBornMs = bornMs
@@ -208,7 +220,10 @@
     for (const run of [...ledger.all()]) {
       if (present.get(run.task) === run.run) continue
       if (run.state === 'running' && run.startConfirmedAt! <= askedAt) finish(run, 'lapsed', 'not listed')
-      if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) finish(run, 'unstarted', 'stopped early')
+      if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) {
+        if (run.outlivedWorker) finish(run, 'lapsed', 'worker restarted')
+        else finish(run, 'unstarted', 'stopped early')
+      }
     }
     for (const { task, run } of running) if (ledger.get(task)?.run !== run) stopUnrecognised(task, run)
     if (wasNotReady) updates.changed()
@@ -228,7 +243,8 @@
       startConfirmedAt: undefined,
       stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
-      stopPending: false
+      stopPending: false,
+      outlivedWorker: false
     }
     ledger.add(unrecognised)
     endRun(unrecognised)
@@ -288,7 +304,9 @@
       const next = { ...announced, leaving: announced.leaving || (!changed && worker!.leaving) }
       if (changed) log.info('worker', { worker: next.id, bornMs: next.bornMs, millicores: next.capacity.millicores })
       if (!changed && worker && worker.leaving !== next.leaving) log.info('worker-leaving', { leaving: next.leaving })
-      if (changed && listedBornMs !== undefined && listedBornMs !== next.bornMs) onWorkerRestart()
+      if (changed && listedBornMs !== undefined && listedBornMs !== next.bornMs) {
+        onWorkerRestart(worker?.id === next.id)
+      }
       worker = next
       ledger.resize(next.capacity)
       if (clockMs !== undefined && lease.nextExpiry() === undefined &&
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -22,6 +22,8 @@
   stopConfirmedAt: number | undefined
   /** Whether a stop call is pending. */
   stopPending: boolean
+  /** Whether the worker has restarted since the order, so that the run may have started on its former incarnation. */
+  outlivedWorker: boolean
 }
 
 /** Runs that hold capacity on the worker, and the highest run number of each task recently started there. */
