--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -133,8 +133,9 @@
     const tokenUsed = token.current()
     const reply = await calls.stop(worker?.id, run, tokenUsed, CALL_TIMEOUT_MS)
     run.stopPending = false
+    if (ledger.get(run.task) !== run) return
     // The incarnation of the worker that confirmed the stop may be gone.
-    if (tokenUsed !== token.current()) return
+    if (tokenUsed !== token.current()) return stopRun(run)
     // Only listings requested from now on show whether the run is still there.
     if (reply.kind === 'acknowledged') {
       run.stopConfirmedAt = timers.monotonic()
