Ignore listings of a worker's former incarnation

Callers could see a task run twice: a listing from before a restart of the worker arrived after one of the new incarnation, on another connection. The agent took it for another restart, reported all current runs as lapsed, and their entries started the tasks elsewhere. Only a later start time of the worker now means a restart.

The test failed before: the run of the new incarnation was reported as lapsed, 'worker restarted'.

--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -243,6 +243,25 @@
     }
   })
 
+  // Responses on different connections may overtake each other.
+  it('does not report runs as ended when a listing from before the restart of the worker arrives late', async () => {
+    const { agent, ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    await pass(70)
+    Object.assign(worker.faults, { callMs: 20, listingDelayMs: 95, executionDelayMs: 3000 })
+    order(0)
+    worker.faults.executionDelayMs = 0
+    // The response to a list call is on its way, and so is the stop of the unanswered order.
+    await pass(40)
+    worker.restart()
+    worker.faults.listingDelayMs = 0
+    agent.workerAnnounced(worker.worker(), undefined)
+    await pass(35)
+    order(1)
+    await pass(200)
+    expect(ends().filter(([ended]) => ended === task(1))).to.deep.equal([])
+    expect(worker.running()).to.deep.equal([task(1)])
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -205,8 +205,9 @@
   }
 
   const onListing = ({ clockMs, bornMs, running, ended }: runs.Listing, askedAt: number): void => {
+    // Responses on different connections may overtake each other.
+    if (bornMs < Math.max(worker?.bornMs ?? 0, listedBornMs ?? 0)) return
     if (listedBornMs !== undefined && bornMs !== listedBornMs) onWorkerRestart(true)
-    if (worker && worker.bornMs > bornMs) return
     const wasNotReady = !isReady()
     listedBornMs = bornMs
     listedAt = timers.monotonic()
