Keep runs that a restarted worker may have started before the agent learns of its restart

Callers could see a task run twice: a worker was back under its id before its agent knew, and executed an order of the agent. The announcement, or the next listing, then made the agent report all runs as lapsed, and the entry started the task elsewhere.

A restart now ends the runs that a listing of the former incarnation has shown. For the others the next listing of the new incarnation decides: a confirmed run goes on if it is there, and has lapsed if not.

The test failed before: the run that had just been started was reported as lapsed.

--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -262,6 +262,19 @@
     expect(worker.running()).to.deep.equal([task(1)])
   })
 
+  // It may order runs before it learns of the restart, from an announcement or a listing.
+  it('does not report runs as ended that it has started on the restarted worker', async () => {
+    const { agent, ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    worker.restart()
+    order(0)
+    await pass(5)
+    agent.workerAnnounced(worker.worker(), undefined)
+    for (let elapsed = 0; elapsed < 300; elapsed++) {
+      await pass(1)
+      if (ends().length > 0) expect(worker.running(), `${elapsed} ms after the announcement`).to.deep.equal([])
+    }
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -177,6 +177,7 @@
       stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false,
+      isListed: false,
       outlivedWorker: false
     }
     ledger.add(run)
@@ -188,7 +189,7 @@
 
   /**
    * Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. Under the same id,
-   * an unanswered order may still start its task, since the worker has not seen a fencing token yet.
+   * orders that no listing shows yet may have started or still start on it, since it has not seen a new fencing token.
    */
   const onWorkerRestart = (isSameId: boolean): void => {
     lastSeen = 0
@@ -196,10 +197,13 @@
     lease.reset()
     token.advance()
     for (const run of [...ledger.all()]) {
-      if (isSameId && run.startConfirmedAt === undefined && run.entry !== undefined) {
-        Object.assign(run, { state: 'uncertain', stopConfirmedAt: undefined, outlivedWorker: true })
-        stopRun(run)
-      } else finish(run, 'lapsed', 'worker restarted')
+      if (!isSameId || run.isListed) {
+        finish(run, 'lapsed', 'worker restarted')
+        continue
+      }
+      Object.assign(run, { stopConfirmedAt: undefined, outlivedWorker: true })
+      if (run.state === 'ordered') run.state = 'uncertain'
+      if (run.state !== 'running') stopRun(run)
     }
     updates.changed()
   }
@@ -220,7 +224,10 @@
       if (run && run.run === endedRun.run) finish(run, endedRun.end)
     }
     for (const run of [...ledger.all()]) {
-      if (present.get(run.task) === run.run) continue
+      if (present.get(run.task) === run.run) {
+        run.isListed = true
+        continue
+      }
       if (run.state === 'running' && run.startConfirmedAt! <= askedAt) finish(run, 'lapsed', 'not listed')
       if (run.stopConfirmedAt !== undefined && run.stopConfirmedAt <= askedAt) {
         if (run.outlivedWorker) finish(run, 'lapsed', 'worker restarted')
@@ -246,6 +253,7 @@
       stopRequestedAt: undefined,
       stopConfirmedAt: undefined,
       stopPending: false,
+      isListed: false,
       outlivedWorker: false
     }
     ledger.add(unrecognised)
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -22,6 +22,8 @@
   stopConfirmedAt: number | undefined
   /** Whether a stop call is pending. */
   stopPending: boolean
+  /** Whether a listing of the current worker incarnation has shown the run. */
+  isListed: boolean
   /** Whether the worker has restarted since the order, so that the run may have started on its former incarnation. */
   outlivedWorker: boolean
 }
