Test that a run lapses in time whose entry told the agent to stop it

The test fails on the code before leases stopped being extended while a stop is not confirmed, and passes since.

--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -275,6 +275,17 @@
     }
   })
 
+  // Callers that broke off submit their job again at another entry, where the task starts on another worker.
+  it('lets a run lapse in time that it was told to stop when the worker answers listings but no stops', async () => {
+    const { agent, order, pass, worker } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(100)
+    worker.faults.ordersLost = true
+    agent.receive(LINK, { kind: 'stop', tasks: [task(0)] })
+    await pass(agents.LAPSE_AFTER_MS)
+    expect(worker.running()).to.deep.equal([])
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
