Match the reported end of a run to the order that started it

Callers could see a task run twice: an agent reported the end of a run just before the entry's next order of the same task reached it. The entry compared task and agent only, took the report for the end of the new order, and started the task once more elsewhere.

Each order now has a number that is unique within the entry's incarnation. Agents repeat it in their reports, and an entry ignores reports of other orders. Run numbers don't suffice, as an agent raises them over the number that the entry asks for.

The test failed before: the second report of run 1 led to a third order. Reports that other tests write by hand got the number.

--- a/packages/fleet/src/message-validation.ts
+++ b/packages/fleet/src/message-validation.ts
@@ -17,7 +17,7 @@
   isFields(value) && isText(value['id']) && isNumber(value['bornMs']) && isText(value['service']) && isText(value['zone']) &&
   isResources(value['capacity']) && isListOf(value['labels'], isText) && isFlag(value['leaving'])
 const isRequestedTask = (value: unknown): boolean =>
-  isFields(value) && isText(value['task']) && isNumber(value['run']) && isResources(value['amount'])
+  isFields(value) && isText(value['task']) && isNumber(value['order']) && isNumber(value['run']) && isResources(value['amount'])
 const isUrgency = (value: unknown): boolean => isFields(value) && isNumber(value['priority']) && isNumber(value['withinMs'])
 const isQueue = (value: unknown): boolean =>
   isFields(value) && isText(value['name']) && isText(value['service']) && isNumber(value['priority']) &&
@@ -38,8 +38,8 @@
   want: ({ urgency }) => isOptional(urgency, isUrgency),
   room: ({ sequence, sharers, worker, free }) =>
     isNumber(sequence) && isNumber(sharers) && isOptional(worker, isWorker) && isResources(free),
-  ended: ({ task, run, end, ranMs, reason }) =>
-    isText(task) && isNumber(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
+  ended: ({ task, order, run, end, ranMs, reason }) =>
+    isText(task) && isNumber(order) && isNumber(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
   version: ({ version }) => isNumber(version),
   'deployment-wanted': () => true,
   deployment: ({ deployment }) => isDeployment(deployment),
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -21,6 +21,7 @@
   const pass = (ms: number): Promise<void> => standIn.advance(timers, ms)
   const cut = new Set<number>()
   const observed: string[] = []
+  const sent: runs.ToAgent[] = []
 
   const fleet = Array.from({ length: workers }, (_, index) => {
     const link = index + 1
@@ -47,6 +48,7 @@
     zone: 'khangai-a',
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
     send: (link, message) => {
+      sent.push(message)
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
     },
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
@@ -86,7 +88,7 @@
     entry.submit(job, answer)
     return { ...result, result, abandon: () => entry.abandon(key, answer) }
   }
-  return { cut, entry, fleet, linkUp, observed, pass, site, submit, timers }
+  return { cut, entry, fleet, linkUp, observed, pass, sent, site, submit, timers }
 }
 
 describe('dispatcher of jobs with waiting callers', () => {
@@ -236,7 +238,7 @@
     entry.receive(1, { kind: 'room', sequence: 1, sharers: 1, free: { millicores: 0, memoryMb: 0, accelerators: 0 } })
     await pass(400)
     entry.receive(1, {
-      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, run: 1, end: 'unstarted', ranMs: 700, reason: 'stopped early'
+      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, order: 1, run: 1, end: 'unstarted', ranMs: 700, reason: 'stopped early'
     })
     await pass(800)
     expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
@@ -278,13 +280,30 @@
     expect(answers).to.deep.equal([{ kind: 'unknown', reason: 'earlier-attempt' }])
   })
 
+  // The agent reports the end of a former run just before the order of the next one reaches it.
+  it('does not start a task again when the end of its former run is reported late', async () => {
+    const { cut, entry, pass, sent, submit } = await setUp({ workers: 1 })
+    cut.add(1)
+    const { key } = submit()
+    const reportEnd = async (): Promise<void> => {
+      await pass(10)
+      const task = `${key}.0.0.0` as runs.TaskId
+      entry.receive(1, { kind: 'ended', task, order: 1, run: 1, end: 'stopped', ranMs: 10 })
+      await pass(10)
+    }
+    await reportEnd()
+    await reportEnd()
+    const numbers = sent.flatMap((message) => message.kind === 'start' ? message.tasks.map(({ run }) => run) : [])
+    expect(numbers).to.deep.equal([1, 2])
+  })
+
   it('does not answer not-run when a worker still runs an earlier attempt of the job', async () => {
     const { cut, entry, pass, submit } = await setUp({ workers: 1, runMs: 100 })
     cut.add(1)
     const { key, result } = submit({ callerTimeoutMs: 600 })
     await pass(10)
     entry.receive(1, {
-      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, run: 0, end: 'unstarted', ranMs: 0, reason: 'still-running'
+      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, order: 1, run: 0, end: 'unstarted', ranMs: 0, reason: 'still-running'
     })
     entry.receive(1, { kind: 'room', sequence: 1, sharers: 1, free: { millicores: 0, memoryMb: 0, accelerators: 0 } })
     await pass(600)
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -53,6 +53,7 @@
   const discovery = fleetDiscovery.create(timers)
   let drainDeadline: number | undefined
   let placementScheduled = false
+  let lastOrder = 0
 
   const estimateOf = (state: jobs.TaskState): number => estimates.expectedRunMs(state.job.job.queue.name, state.task)
 
@@ -98,7 +99,7 @@
 
   const onEnded = (agent: fleet.Agent, message: runs.EndedMessage): void => {
     const task = outstanding.get(message.task)
-    if (!task || task.agent?.name !== agent.name) return
+    if (!task || task.agent?.name !== agent.name || task.order !== message.order) return
     const { job } = task
     const queue = job.job.queue.name
     releaseTask(task)
@@ -181,7 +182,8 @@
       agent.sequence++
       batch.set(agent, [task])
     }
-    Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, orderedAt: timers.monotonic() })
+    const orderedAt = timers.monotonic()
+    Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, order: ++lastOrder, orderedAt })
     agent.tasks.set(task.task.id, task)
     jobs.adjustPlaced(task, agent, 1)
     agents.order(agent, task.task.id, task.task.amount)
@@ -194,7 +196,8 @@
       bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
     }
     for (const [spec, group] of bySpec) {
-      const startOrders = group.map(({ task, orders }) => ({ task: task.id, run: orders, amount: task.amount }))
+      const startOrders = group.map(({ task, order, orders }) => (
+        { task: task.id, order, run: orders, amount: task.amount }))
       send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: startOrders })
       for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
         const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -18,6 +18,8 @@
   agent: agents.Agent | undefined
   /** Number of orders sent so far; also the lowest run number of the latest one. */
   orders: number
+  /** Identifies the latest order. */
+  order: number
   failures: number
   /** Names of agents on which the task failed, hung or was refused; other agents are preferred. */
   avoidedAgents: Set<string>
@@ -83,6 +85,7 @@
     phase: step.after.length === 0 ? 'waiting' : 'blocked',
     agent: undefined,
     orders: 0,
+    order: 0,
     failures: 0,
     avoidedAgents: new Set(),
     orderedAt: 0,
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -46,7 +46,7 @@
     kind: 'start',
     sequence: ++sequence,
     spec: 'weigh',
-    tasks: indexes.map((index) => ({ task: task(index), run: 1, amount: TASK_AMOUNT }))
+    tasks: indexes.map((index) => ({ task: task(index), order: index + 1, run: 1, amount: TASK_AMOUNT }))
   })
   const ends = () => messages.flatMap((message) => message.kind === 'ended' ? [[message.task, message.end, message.reason]] : [])
   const latestReport = () => messages.findLast((message) => message.kind === 'room')
@@ -169,7 +169,7 @@
     successor.workerAnnounced({ ...worker.worker(), leaving: false }, undefined)
     await pass(300)
     messages.length = 0
-    const tasks = [{ task: task(0), run: 1, amount: TASK_AMOUNT }]
+    const tasks = [{ task: task(0), order: 1, run: 1, amount: TASK_AMOUNT }]
     successor.receive(LINK, { kind: 'start', sequence: 1, spec: 'weigh', tasks })
     await pass(10)
     expect(messages.find(({ kind }) => kind === 'ended')).to.deep.include({ end: 'unstarted', reason: 'not-ready' })
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -111,12 +111,12 @@
     const writeLog = stopMs !== undefined && stopMs > leases.STOPPED_AFTER_MS ? log.warn : log.info
     writeLog('run-end', { task: run.task, run: run.run, end, ranMs, stopMs, reason })
     updates.runEnded()
-    sendToEntry(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
+    sendToEntry(run, { kind: 'ended', task: run.task, order: run.order, run: run.run, end, ranMs, reason })
     if (whenEmpty && ledger.size() === 0) whenEmpty()
   }
-  const refuse = (link: number, task: runs.TaskId, reason: string): void => {
+  const refuse = (link: number, { task, order }: runs.RequestedTask, reason: string): void => {
     log.info('run-refused', { task, reason })
-    send(link, { kind: 'ended', task, run: 0, end: 'unstarted', ranMs: 0, reason })
+    send(link, { kind: 'ended', task, order, run: 0, end: 'unstarted', ranMs: 0, reason })
     // Deferred until the rest of the start message has been processed, but still in the same frame.
     queueMicrotask(() => updates.piggyback(link))
   }
@@ -161,15 +161,16 @@
   }
 
   const start = async (link: number, spec: string, requested: runs.RequestedTask): Promise<void> => {
-    if (!isReady() || !worker) return refuse(link, requested.task, 'not-ready')
-    if (ledger.get(requested.task)) return refuse(link, requested.task, 'still-running')
-    if (!runs.fits(requested.amount, ledger.free())) return refuse(link, requested.task, 'no-room')
+    if (!isReady() || !worker) return refuse(link, requested, 'not-ready')
+    if (ledger.get(requested.task)) return refuse(link, requested, 'still-running')
+    if (!runs.fits(requested.amount, ledger.free())) return refuse(link, requested, 'no-room')
     const leaseUntilMs = orderLease()
-    if (leaseUntilMs === undefined) return refuse(link, requested.task, 'not-ready')
+    if (leaseUntilMs === undefined) return refuse(link, requested, 'not-ready')
     const run: runLedger.Run = {
       task: requested.task,
       run: ledger.nextRun(requested.task, requested.run),
       entry: entryByLink.get(link),
+      order: requested.order,
       amount: requested.amount,
       state: 'ordered',
       orderedAt: timers.monotonic(),
@@ -246,6 +247,7 @@
       task,
       run,
       entry: undefined,
+      order: 0,
       amount: runs.NO_RESOURCES,
       state: 'stopping',
       orderedAt: timers.monotonic(),
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -12,6 +12,8 @@
 export interface Run extends runs.RunId {
   /** Incarnation of the entry that ordered the run; undefined for a run not ordered by this agent incarnation. */
   entry: string | undefined
+  /** Identifies the entry's order. */
+  order: number
   amount: runs.Resources
   state: State
   orderedAt: number
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -4,6 +4,8 @@
 /** One task that an entry asks an agent to start. */
 export interface RequestedTask {
   task: runs.TaskId
+  /** Identifies the order among all of the entry's incarnation. */
+  order: number
   /** Lowest number that the run may have. */
   run: number
   amount: resources.Resources
@@ -54,6 +56,8 @@
 export interface EndedMessage {
   kind: 'ended'
   task: runs.TaskId
+  /** The order that has ended. An earlier one of the same task may be reported after the next one was sent. */
+  order: number
   /** Run number; 0 for a task that was refused before a run was created. */
   run: number
   end: runs.RunEnd
