Keep an order with the agent that still runs an earlier attempt of its task

Callers that submit their job again at another entry could see a task run twice: the agent that still had the earlier run refused the order as still-running, and the entry started the task on the next worker at once. With no other worker it repeated the order with each refusal, 251 times in 500 ms over a link of 1 ms.

The agent now keeps such an order until the earlier run has ended, and starts it then if it still fits. It refuses the order as still-running only when its entry takes it back, and the entry then offers the task to no other agent.

The tests failed before: 'does not start a task elsewhere while the agent that refused it still runs an earlier attempt' and 'does not repeat an order over and over while its agent still runs an earlier attempt'.

--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -14,8 +14,8 @@
 }
 
 /** Key of what the task requires of a worker, or undefined if it also depends on where the job's other tasks are. */
-const requirementsOf = ({ job, task, step }: jobs.TaskState): string | undefined => {
-  if (job.job.steps[step]!.maxPerWorker !== Infinity) return undefined
+const requirementsOf = ({ job, task, step, heldBy }: jobs.TaskState): string | undefined => {
+  if (heldBy !== undefined || job.job.steps[step]!.maxPerWorker !== Infinity) return undefined
   const { millicores, memoryMb, accelerators } = task.amount
   return `${job.job.queue.service} ${millicores} ${memoryMb} ${accelerators} ${task.label ?? ''}`
 }
@@ -25,6 +25,7 @@
 const isEligible = (agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, now: number): boolean => {
   const { worker } = agent
   const { task, job } = state
+  if (state.heldBy !== undefined && agent.name !== state.heldBy) return false
   if (!worker || worker.leaving || worker.service !== job.job.queue.service) return false
   if (!runs.fits(task.amount, agent.free)) return false
   if (task.label && !worker.labels.includes(task.label)) return false
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -21,7 +21,7 @@
   const pass = (ms: number): Promise<void> => standIn.advance(timers, ms)
   const cut = new Set<number>()
   const observed: string[] = []
-  const sent: runs.ToAgent[] = []
+  const sent: Array<runs.ToAgent & { link: number }> = []
 
   const fleet = Array.from({ length: workers }, (_, index) => {
     const link = index + 1
@@ -48,7 +48,7 @@
     zone: 'khangai-a',
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
     send: (link, message) => {
-      sent.push(message)
+      sent.push({ ...message, link })
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
     },
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
@@ -297,6 +297,53 @@
     expect(numbers).to.deep.equal([1, 2])
   })
 
+  // The entry of the first attempt is gone, and its agent, meanwhile full, is still stopping the run.
+  it('does not start a task elsewhere while the agent that refused it still runs an earlier attempt', async () => {
+    const { fleet, pass, site, submit } = await setUp({ runMs: 1500 })
+    const [holder, other] = fleet
+    let sequence = 0
+    const startAt = ({ agent }: typeof fleet[number], link: number, key: string, count: number): void => {
+      agent.linkUp(link, `entry-${link}`)
+      const tasks = Array.from({ length: count }, (_, index) => (
+        { task: `${key}.0.0.${index}` as runs.TaskId, order: 1, run: 1, amount: TASK_AMOUNT }))
+      agent.receive(link, { kind: 'start', sequence: ++sequence, spec: 'pay', tasks })
+    }
+    startAt(holder!, 8, '0000000000000001', 1)
+    startAt(other!, 9, '00000000000000fe', 2)
+    await pass(300)
+    holder!.agent.linkDown(8)
+    const { key, result } = submit({ queue: { ...QUEUE, stretch: 5 } })
+    expect(key).to.equal('0000000000000001')
+    startAt(holder!, 9, '00000000000000ff', 2)
+    await pass(3500)
+    expect(site.violations).to.deep.equal([])
+    expect(result.answer).to.deep.equal({ kind: 'completed' })
+  })
+
+  it('does not start a task elsewhere when its order has waited too long for the end of an earlier attempt', async () => {
+    const { entry, fleet, pass, sent, submit } = await setUp()
+    const { key } = submit({ callerTimeoutMs: 3000 })
+    await pass(10)
+    const holder = fleet.find(({ worker }) => worker.running().length > 0)!.link
+    entry.receive(holder, {
+      kind: 'ended', task: `${key}.0.0.0` as runs.TaskId, order: 1, run: 0, end: 'unstarted', ranMs: 0, reason: 'still-running'
+    })
+    await pass(100)
+    const links = sent.flatMap(({ kind, link }) => kind === 'start' ? [link] : [])
+    expect(links).to.deep.equal([holder, holder])
+  })
+
+  it('does not repeat an order over and over while its agent still runs an earlier attempt', async () => {
+    const { fleet, pass, sent, submit } = await setUp({ workers: 1, runMs: 1000 })
+    const tasks = [{ task: '0000000000000001.0.0.0' as runs.TaskId, order: 1, run: 1, amount: TASK_AMOUNT }]
+    fleet[0]!.agent.linkUp(8, 'entry-2')
+    fleet[0]!.agent.receive(8, { kind: 'start', sequence: 1, spec: 'pay', tasks })
+    await pass(100)
+    submit({ queue: { ...QUEUE, stretch: 5 } })
+    await pass(500)
+    expect(sent.filter(({ kind }) => kind === 'start').length).to.be.at.most(25)
+  })
+
   it('does not answer not-run when a worker still runs an earlier attempt of the job', async () => {
     const { cut, entry, pass, submit } = await setUp({ workers: 1, runMs: 100 })
     cut.add(1)
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -92,6 +92,7 @@
     if (task.agent) agents.removeOrder(task.agent, id)
     if (task.agent?.tasks.delete(id)) jobs.adjustPlaced(task, task.agent, -1)
     outstanding.delete(id)
+    task.heldBy = undefined
     task.phase = task.job.ended ? 'done' : 'waiting'
     if (!task.job.ended) waiting.add(task.job)
     schedulePlacement()
@@ -106,7 +107,10 @@
     if (message.end === 'unstarted') {
       if (message.reason === 'unwell') recordHealth(task, agent, true, message.ranMs)
       // A run that an earlier attempt has ordered through another entry.
-      if (message.reason === 'still-running') job.mayHaveStarted = true
+      if (message.reason === 'still-running') {
+        job.mayHaveStarted = true
+        task.heldBy = agent.name
+      }
       options.onRefusedOrder(message.reason ?? 'unknown')
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
       if (message.reason !== 'no-room') task.avoidedAgents.add(agent.name)
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -23,6 +23,8 @@
   failures: number
   /** Names of agents on which the task failed, hung or was refused; other agents are preferred. */
   avoidedAgents: Set<string>
+  /** Name of the agent that still has an earlier run of the task; the task is not placed elsewhere. */
+  heldBy: string | undefined
   orderedAt: number
   /** Monotonic ms by which a lost task has certainly ended. */
   mayRunUntil: number
@@ -88,6 +90,7 @@
     order: 0,
     failures: 0,
     avoidedAgents: new Set(),
+    heldBy: undefined,
     orderedAt: 0,
     mayRunUntil: 0
   })))
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -3,6 +3,7 @@
 import * as runs from '@mustarddeck/runs'
 import * as runLedger from './run-ledger.ts'
 import * as leases from './lease.ts'
+import * as deferredOrders from './deferred-orders.ts'
 import * as capacityUpdates from './capacity-updates.ts'
 
 /**
@@ -62,6 +63,7 @@
   const ledger = runLedger.create()
   const lease = leases.create(timers)
   const token = leases.createFencingToken(timers)
+  const deferred = deferredOrders.create()
   /** Incarnation of the entry, by link. */
   const entryByLink = new Map<number, string>()
   let worker: runs.Worker | undefined
@@ -112,6 +114,8 @@
     writeLog('run-end', { task: run.task, run: run.run, end, ranMs, stopMs, reason })
     updates.runEnded()
     sendToEntry(run, { kind: 'ended', task: run.task, order: run.order, run: run.run, end, ranMs, reason })
+    const next = deferred.next(run.task)
+    if (next) start(next.link, next.spec, next.requested)
     if (whenEmpty && ledger.size() === 0) whenEmpty()
   }
   const refuse = (link: number, { task, order }: runs.RequestedTask, reason: string): void => {
@@ -161,8 +165,8 @@
   }
 
   const start = async (link: number, spec: string, requested: runs.RequestedTask): Promise<void> => {
+    if (ledger.get(requested.task)) return deferred.add({ link, spec, requested })
     if (!isReady() || !worker) return refuse(link, requested, 'not-ready')
-    if (ledger.get(requested.task)) return refuse(link, requested, 'still-running')
     if (!runs.fits(requested.amount, ledger.free())) return refuse(link, requested, 'no-room')
     const leaseUntilMs = orderLease()
     if (leaseUntilMs === undefined) return refuse(link, requested, 'not-ready')
@@ -339,6 +343,7 @@
       const entry = entryByLink.get(link)
       entryByLink.delete(link)
       updates.down(link)
+      deferred.dropLink(link)
       for (const run of ledger.all()) if (entry !== undefined && run.entry === entry) endRun(run)
     },
     receive: (link, message) => {
@@ -353,6 +358,7 @@
       }
       for (const task of message.tasks) {
         const run = ledger.get(task)
+        for (const { requested } of deferred.take(task, link)) refuse(link, requested, 'still-running')
         if (run?.entry === entry) endRun(run)
       }
     },
