Count a suspension of the machine against the deadlines of callers

Callers could see a task run twice: the monotonic clock stands still while the machine of an entry is suspended. The entry then took its callers for waiting, and placed their tasks, after they had given up and submitted their jobs again elsewhere. The end of their connections may arrive seconds later.

The entry brings the deadlines of its jobs forward by the part of a pause that its monotonic clock did not count, before it handles any input.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -107,7 +107,7 @@
     maxLinks: Infinity,
     isIdle: () => false,
     followsStore: () => true,
-    onPause: () => {},
+    onPause: ({ uncountedMs }) => jobs.suspended(uncountedMs),
     up: ({ id, peer }) => {
       links.send(id, currentStatus())
       if (peer.role === 'agent') jobs.agentUp(id, peer.name, peer.life)
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -35,7 +35,7 @@
   /** False while peers follow the store on behalf of this process. */
   followsStore (): boolean
   /** Called after the process was paused or suspended, before its links are closed. */
-  onPause (): void
+  onPause (pause: sessions.Pause): void
   up (session: sessions.Session): void
   /** Handles messages that aren't common to entries and agents. */
   message (session: sessions.Session, message: messages.Message): void
@@ -49,9 +49,9 @@
   const { hello, seeds, store, timers, log, removesStaleRows, maxLinks, isIdle } = options
 
   const generator = random.create(seedOf(hello.life))
-  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, ({ gapMs, uncountedMs }) => {
-    log.warn('pause', { gapMs, uncountedMs })
-    options.onPause()
+  const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (pause) => {
+    log.warn('pause', { ...pause })
+    options.onPause(pause)
     links.closeAll('process stood still')
   })
   const receive = (session: sessions.Session, message: unknown): void => {
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -244,6 +244,18 @@
     expect(result.answer).to.deep.equal({ kind: 'unknown', reason: 'patience' })
   })
 
+  // The caller has submitted it again at another entry; the end of its connection may be noticed seconds later.
+  it('starts nothing of a job whose caller gave up while the machine was suspended', async () => {
+    const { entry, pass, site, submit } = await setUp({ workers: 1, slots: 1, runMs: 300 })
+    const first = submit({ callerTimeoutMs: 1500 })
+    const second = submit({ callerTimeoutMs: 1500, queue: { ...QUEUE, stretch: 5 } })
+    await pass(50)
+    entry.suspended(5000)
+    await pass(1000)
+    expect([first.result.answer?.kind, second.result.answer?.kind]).to.deep.equal(['unknown', 'not-run'])
+    expect([...site.starts.keys()]).to.deep.equal([`${first.key}.0.0.0`])
+  })
+
   it('stops a job whose caller has disconnected', async () => {
     const { fleet, pass, submit } = await setUp({ runMs: 3000 })
     const { abandon } = submit({ tasks: 4 })
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -342,6 +342,14 @@
       }
       onEnded(agent, message)
     },
+    suspended: (uncountedMs) => {
+      const now = timers.monotonic()
+      for (const job of [...byKey.values()]) {
+        job.callerDeadline -= uncountedMs
+        job.latestStart -= uncountedMs
+        endIfLate(job, now)
+      }
+    },
     drain: (remainingMs) => { drainDeadline = timers.monotonic() + remainingMs },
     leave: () => {
       drainDeadline = -Infinity
--- a/packages/job-dispatcher/src/interface.ts
+++ b/packages/job-dispatcher/src/interface.ts
@@ -76,6 +76,8 @@
   /** `trustedUntil` is the monotonic ms until which the agent may have acted on this entry's orders. */
   agentDown (link: number, trustedUntil: number): void
   receive (link: number, message: runs.FromAgent): void
+  /** Brings the deadlines of all jobs forward by the time in ms for which the monotonic clock stood still. */
+  suspended (uncountedMs: number): void
   /** From now on refuses new jobs that can't end within `remainingMs` of this call. */
   drain (remainingMs: number): void
   /** Ends and answers every job, and refuses new ones. */
