--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -356,6 +356,26 @@
     expect(sent.filter(({ kind }) => kind === 'start').length).to.be.at.most(25)
   })
 
+  it('does not start a task again when the end of its run in an earlier attempt of the job is reported late', async () => {
+    const { cut, entry, fleet, pass, sent, submit, timers } = await setUp({ workers: 1 })
+    const first = submit()
+    await pass(20)
+    first.abandon()
+    cut.add(1)
+    entry.agentDown(1, timers.monotonic())
+    await pass(runAgent.LAPSE_AFTER_MS + 100)
+    cut.add(2)
+    entry.agentUp(2, 'i-1', 'incarnation')
+    const worker = fleet[0]!.worker.worker()
+    entry.receive(2, { kind: 'room', sequence: 0, sharers: 1, worker, free: worker.capacity })
+    sent.length = 0
+    entry.submit(first.job, () => {})
+    await pass(1)
+    entry.receive(2, { kind: 'ended', task: `${first.key}.0.0.0` as runs.TaskId, order: 1, run: 1, end: 'stopped', ranMs: 800 })
+    await pass(30)
+    expect(sent.filter(({ kind }) => kind === 'start')).to.have.length(1)
+  })
+
   it('does not answer not-run when a worker still runs an earlier attempt of the job', async () => {
     const { cut, entry, pass, submit } = await setUp({ workers: 1, runMs: 100 })
     cut.add(1)
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -286,6 +286,32 @@
     expect(worker.running()).to.deep.equal([])
   })
 
+  // Its clock has begun anew, so that the order's expiry lies far ahead, and it grants its longest lease.
+  it('lets a run that it has ordered from a restarted worker lapse in time after its end', async () => {
+    const { agent, order, pass, worker } = await setUp({ runMs: 5000 })
+    await pass(2000)
+    worker.restart()
+    order(0)
+    await pass(5)
+    agent.stop()
+    await pass(agents.LAPSE_AFTER_MS)
+    expect(worker.running()).to.deep.equal([])
+  })
+
+  it('reports a run that it has ordered from a restarted worker as lapsed only after its end', async () => {
+    const { ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    await pass(2000)
+    worker.restart()
+    order(0)
+    await pass(5)
+    worker.faults.unresponsive = true
+    for (let elapsed = 0; elapsed < 1500; elapsed++) {
+      await pass(1)
+      if (ends().length > 0) expect(worker.running(), `${elapsed} ms after the order`).to.deep.equal([])
+    }
+    expect(ends().map(([, end]) => end)).to.deep.equal(['lapsed'])
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/worker-stand-in/src/index.ts
+++ b/packages/worker-stand-in/src/index.ts
@@ -1,3 +1,3 @@
-export { create, type Faults, type Settings, type StandIn } from './worker.ts'
+export { create, createFaults, type Faults, type Settings, type StandIn } from './worker.ts'
 export { createSite, type Site } from './site.ts'
 export { advance } from './advance.ts'
--- a/packages/worker-stand-in/src/worker.ts
+++ b/packages/worker-stand-in/src/worker.ts
@@ -19,6 +19,8 @@
   ordersLost: boolean
   /** Round trip time in ms of start and stop calls. */
   callMs: number
+  /** Delay in ms after which list calls take effect, unanswered; 0 to execute and answer them immediately. */
+  listingExecutionDelayMs: number
   /** Time in ms by which responses to list calls arrive late. */
   listingDelayMs: number
   /** The worker answers no calls and executes none. */
@@ -57,16 +59,19 @@
   stop (): void
 }
 
+export const createFaults = (): Faults => ({
+  executionDelayMs: 0,
+  ordersLost: false,
+  callMs: CALL_MS,
+  listingExecutionDelayMs: 0,
+  listingDelayMs: 0,
+  unresponsive: false,
+  unhealthy: false,
+  tasks: 'succeed'
+})
+
 export const create = ({ id, capacity, resourcesOf, runMsOf, site, timers }: Settings): StandIn => {
-  const faults: Faults = {
-    executionDelayMs: 0,
-    ordersLost: false,
-    callMs: CALL_MS,
-    listingDelayMs: 0,
-    unresponsive: false,
-    unhealthy: false,
-    tasks: 'succeed'
-  }
+  const faults = createFaults()
   const running = new Map<runs.TaskId, ActiveRun>()
   const highestRuns = new Map<runs.TaskId, number>()
   let ended: runs.Listing['ended'] = []
@@ -131,6 +136,14 @@
     if (current && current.run <= run) timers.after(STOP_MS, () => finish(current, 'stopped'))
     return { kind: 'acknowledged' }
   }
+  /** Applies the effects of a list call; returns false if its token is outdated. */
+  const acceptListing = ({ token: listToken, lastSeen, leaseUntilMs: untilMs }: runs.ListOptions): boolean => {
+    if (listToken < token) return false
+    token = listToken
+    ended = ended.filter(({ number }) => number > lastSeen)
+    extendLease(untilMs)
+    return true
+  }
   const snapshot = (): runs.Listing => ({
     clockMs: clockMs(),
     bornMs,
@@ -171,15 +184,13 @@
     ): Promise<runs.ListReply> {
       const askedAt = timers.monotonic()
       await wait(CALL_MS)
-      if (faults.unresponsive) {
+      if (faults.unresponsive || faults.listingExecutionDelayMs > 0) {
+        if (!faults.unresponsive) timers.after(faults.listingExecutionDelayMs, () => acceptListing(options))
         await wait(options.timeoutMs)
         return { kind: 'silent' }
       }
-      if (options.token < token) return { kind: 'refused', reason: 'outdated-token' }
       const calledIncarnation = bornMs
-      token = options.token
-      ended = ended.filter(({ number }) => number > options.lastSeen)
-      extendLease(options.leaseUntilMs)
+      if (!acceptListing(options)) return { kind: 'refused', reason: 'outdated-token' }
       if (ended.length === 0 && options.waitMs > 0) {
         await Promise.race([wait(options.waitMs), new Promise<void>((resolve) => waiters.push(resolve))])
       }
