Do not take a reset connection for a peer that closed the link

Callers could see a task run twice: a network component between entry and agent resets the connection to the entry only.

Only a connection that the peer ended, by itself or with its process, now counts as closed by it. After a reset the entry waits as for a link that falls silent.

A process that is killed with unread data in a socket resets it too; its tasks then wait that much longer unless its successor has reported the worker.

--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -81,7 +81,12 @@
     server.close()
     for (const socket of sockets) socket.destroy()
   }
-  return { cut, packets, address: `${HOST}:${proxied}`, stop }
+  /** Resets the connections to the server; the clients are not told. */
+  const resetServerSide = (): void => {
+    cut.toClient = cut.toServer = true
+    for (const socket of sockets) if (socket.remotePort === port) socket.resetAndDestroy()
+  }
+  return { cut, packets, resetServerSide, address: `${HOST}:${proxied}`, stop }
 }
 
 describe('links on which each side knows how long its peer trusts it', () => {
@@ -127,6 +132,24 @@
   })
 
   // The connection is not reset in this case, and the other direction may still work.
+  /** Closes both ends; expects that neither side acts on the trust of the other for longer than the other counts on. */
+  const expectBoundedTrust = async (): Promise<void> => {
+    const trustedAt = new Map<Peer, number>()
+    const act = (peer: Peer): void => {
+      const now = systemTimers.monotonic()
+      peer.links.closeExpired()
+      if (peer.down.length === 0) trustedAt.set(peer, now)
+    }
+    await until(() => {
+      act(entry)
+      act(agent)
+      return entry.down.length === 1 && agent.down.length === 1
+    })
+    const [fromEntry, fromAgent] = [entry.down[0]!, agent.down[0]!]
+    expect(trustedAt.get(agent), 'the agent acts for the entry').to.be.at.most(fromEntry.trustedUntil)
+    expect(trustedAt.get(entry), 'the entry acts for the agent').to.be.at.most(fromAgent.trustedUntil)
+  }
+
   for (const direction of ['toServer', 'toClient'] as const) {
     const way = direction === 'toServer' ? 'one way' : 'the other way'
 
@@ -136,24 +159,17 @@
     })
 
     it(`is trusted by neither side for longer than the other counts on when it falls silent ${way}`, async () => {
-      const trustedAt = new Map<Peer, number>()
-      const act = (peer: Peer): void => {
-        const now = systemTimers.monotonic()
-        peer.links.closeExpired()
-        if (peer.down.length === 0) trustedAt.set(peer, now)
-      }
       proxy.cut[direction] = true
-      await until(() => {
-        act(entry)
-        act(agent)
-        return entry.down.length === 1 && agent.down.length === 1
-      })
-      const [fromEntry, fromAgent] = [entry.down[0]!, agent.down[0]!]
-      expect(trustedAt.get(agent), 'the agent acts for the entry').to.be.at.most(fromEntry.trustedUntil)
-      expect(trustedAt.get(entry), 'the entry acts for the agent').to.be.at.most(fromAgent.trustedUntil)
+      await expectBoundedTrust()
     })
   }
 
+  // A network component in between may reset the connection to one side only.
+  it('is trusted by neither side for longer than the other counts on when only one sees a reset', async () => {
+    proxy.resetServerSide()
+    await expectBoundedTrust()
+  })
+
   describe('on a busy machine, whose timers are late,', () => {
     let busyEntry: Peer
     let busyAgent: Peer
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -266,8 +266,9 @@
   const needsEcho = ({ pace, sentAt, receivedAt }: Link<Message>, messages: Message[]): boolean =>
     messages.length === 0 || receivedAt - sentAt >= REPLY_AFTER_SHARE * pace.heartbeatMs
 
-  const addLink = (socket: ws.WebSocket, address: string | undefined): Link<Message> => {
+  const addLink = (socket: ws.WebSocket, connection: net.Socket, address: string | undefined): Link<Message> => {
     const now = timers.monotonic()
+    let hasPeerEnded = false
     const link: Link<Message> = {
       id: nextId++,
       socket,
@@ -286,8 +287,10 @@
     }
     links.set(link.id, link)
     socket.on('message', (data) => onFrame(link, data as Buffer))
-    socket.on('error', (cause) => close(link, cause.message, 'peer'))
-    socket.on('close', () => close(link, 'closed by peer', 'peer'))
+    connection.on('end', () => { hasPeerEnded = true })
+    socket.on('error', (cause) => close(link, cause.message))
+    // The peer may not know of a reset by a network component in between.
+    socket.on('close', () => hasPeerEnded ? close(link, 'closed by peer', 'peer') : close(link, 'connection reset'))
     if (socket.readyState === ws.WebSocket.OPEN) write(link, hello)
     else socket.once('open', () => write(link, hello))
     return link
@@ -297,7 +300,7 @@
     const [host, port] = dial.address.split(':')
     const connection = net.connect(Number(port), host)
     const socket = new ws.WebSocket(`ws://${dial.address}`, { ...socketOptions, createConnection: () => connection })
-    const link = addLink(socket, dial.address)
+    const link = addLink(socket, connection, dial.address)
     link.helloDeadline = timers.monotonic() + CONNECT_TIMEOUT_MS
     connection.once('connect', () => { link.helloDeadline = timers.monotonic() + HANDSHAKE_TIMEOUT_MS })
     schedule(link, CONNECT_TIMEOUT_MS)
@@ -312,7 +315,8 @@
         started.once('error', reject)
       })
       started.on('error', (cause) => log.error('link-server-failed', { reason: cause.message }))
-      started.on('connection', (socket) => schedule(addLink(socket, undefined), HANDSHAKE_TIMEOUT_MS))
+      started.on('connection', (socket, request) =>
+        schedule(addLink(socket, request.socket, undefined), HANDSHAKE_TIMEOUT_MS))
     },
     dial: (address) => {
       if (dials.has(address) || address === hello.address || stopped) return
