Dial and pass on valid addresses only

Operators saw that one odd row among the entries, such as 10.0.0.999:80, ended every process that read it, again after each restart. An address with a bad port, or a text that is none, was kept as an entry: it took a place in the selection for a second, was reported as malformed at each selection, and went on to all peers in `entries` messages.

Cause: the check of addresses accepted any digits and dots. The WebSocket's URL parser then threw in a timer, and the TCP connection made before it had nobody for its error.

One parser, sessions.parseAddress, now decides what an address is: an IPv4 address other than 0.x, or a name, and a port from 1 to 65535. Peers drop any other text with one log line where it enters, be it from the store, a peer's message or a hello.

--- a/packages/fleet/src/peers.test.ts
+++ b/packages/fleet/src/peers.test.ts
@@ -10,8 +10,9 @@
 const hello = (name: string): sessions.Hello => ({ role: 'entry', name, life: `${name}-life`, address: `${name}:1` })
 
 /** Creates the peers of the entry `own`, with links that the test brings up. */
-const setUp = (own: string) => {
+const setUp = (own: string, rows: stores.Row[] = []) => {
   const timers = clock.createVirtual()
+  const sent: messages.Message[] = []
   const dialed: string[] = []
   const forgotten: string[] = []
   const closed: number[] = []
@@ -20,9 +21,9 @@
       dial: (address: string) => { if (!dialed.includes(address)) dialed.push(address) },
       forget: (address: string) => forgotten.push(address),
       close: (id: number) => closed.push(id),
-      send: () => {}
+      send: (_id: number, message: messages.Message) => { sent.push(message) }
     } as unknown as sessions.Sessions<messages.Message>,
-    store: { rows: async () => errors.ok([]) } as unknown as stores.Store,
+    store: { rows: async () => errors.ok(rows) } as unknown as stores.Store,
     timers,
     log: logging.create({ level: 'error' }),
     seeds: [],
@@ -31,7 +32,7 @@
     maxLinks: Infinity,
     isIdle: () => false
   })
-  return { closed, dialed, forgotten, peers, timers }
+  return { closed, dialed, forgotten, peers, sent, timers }
 }
 
 describe('links between entries', () => {
@@ -58,4 +59,19 @@
     timers.advance(2000)
     expect(dialed).to.deep.equal(['a:1'])
   })
+
+  it('are not dialed to a malformed address, wherever it comes from, nor is it passed on', async () => {
+    const odd = ['10.0.0.999:80', '', '{', '[[[[', '10.0.0.1:65536', '10.0.0.1']
+    const { dialed, peers, sent, timers } = setUp('a', odd.map((value, index) => ({ key: `odd-${index}`, value })))
+    peers.learn(odd)
+    peers.up({ id: 1, peer: { ...hello('odd'), address: odd[0]! }, dialed: false })
+    peers.up({ id: 2, peer: hello('b'), dialed: false })
+    for (let count = 0; count < 10; count++) {
+      timers.advance(500)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    expect(dialed).to.deep.equal([])
+    const spread = sent.flatMap((message) => message.kind === 'entries' ? message.addresses : [])
+    expect([...new Set(spread)]).to.deep.equal(['b:1'])
+  })
 })
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as log from '@mustarddeck/log'
-import type * as sessions from '@mustarddeck/sessions'
+import * as sessions from '@mustarddeck/sessions'
 import * as follow from './follow.ts'
 import type * as messages from './messages.ts'
 import * as selections from './selection.ts'
@@ -68,14 +68,16 @@
   const broadcast = (message: messages.Message): void => {
     for (const id of up.keys()) links.send(id, message)
   }
-  /** Returns true if one of the addresses is new. */
+  /** Adds the addresses, except malformed ones. Returns true if one of them is new. */
   const addAddresses = (addresses: string[]): boolean => {
-    const sizeBefore = entries.size
-    for (const address of addresses) {
-      if (entries.has(address)) continue
+    const unknown = addresses.filter((address) => !entries.has(address))
+    const valid = new Set(unknown.filter((address) => sessions.parseAddress(address)))
+    const malformed = unknown.filter((address) => !valid.has(address))
+    if (malformed.length > 0) log.warn('addresses-malformed', { count: malformed.length, first: malformed[0] })
+    for (const address of valid) {
       entries.set(address, { address, linked: 0, dialedSince: undefined, lastSeenAt: timers.monotonic() })
     }
-    return entries.size > sizeBefore
+    return valid.size > 0
   }
   const selectAndBroadcast = (): void => {
     select()
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -1,2 +1,3 @@
+export * from './address.ts'
 export * from './pause.ts'
 export * from './sessions.ts'
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -232,6 +232,25 @@
     relaxedProxy.stop()
   })
 
+  // Another writer's row in the table of entries names such addresses. The process ended when it dialed one.
+  it('is not dialed to a malformed address', async () => {
+    const failures: unknown[] = []
+    const record = (cause: unknown): void => { failures.push(cause) }
+    process.on('uncaughtException', record)
+    for (const address of ['127.0.0.999:80', '-.:80', '127.0.0.1:0', '127.0.0.1:65536']) {
+      try {
+        agent.links.dial(address)
+      } catch (cause) {
+        failures.push(cause)
+      }
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    process.off('uncaughtException', record)
+    expect(failures).to.deep.equal([])
+    agent.links.closeAll('test')
+    await until(() => agent.up.length === 2)
+  })
+
   it('closes a connection on which the peer violates the protocol', async () => {
     const client = net.connect(Number(proxy.address.split(':')[1]), HOST)
     client.resume()
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -4,6 +4,7 @@
 import * as msgpackr from 'msgpackr/pack'
 import * as net from 'node:net'
 import * as ws from 'ws'
+import * as addresses from './address.ts'
 import * as retryDelay from './retry-delay.ts'
 
 /** Intervals of heartbeats and timeouts on a link. Both ends use the same ones. */
@@ -129,6 +130,7 @@
 
 interface Dial {
   address: string
+  target: addresses.Address
   /** Failed attempts since the last link. */
   failures: number
   cancel: clock.Cancellation
@@ -146,12 +148,6 @@
   return Number.isFinite(sentAt) && Number.isFinite(echo) && Array.isArray(messages)
 }
 
-/** Address of the form HOST:PORT to which a connection can be opened. */
-const isAddress = (text: string): boolean => {
-  const match = /^[\w.-]+:(\d{1,5})$/.exec(text)
-  return match !== null && Number(match[1]) < 2 ** 16
-}
-
 /** Age in ms of an echo up to which an end of a link trusts its peer. */
 const echoTimeoutMs = ({ heartbeatMs, timeoutMs }: Pace, dialed: boolean): number =>
   dialed ? timeoutMs : timeoutMs + heartbeatMs
@@ -297,8 +293,7 @@
   }
   const connect = (dial: Dial): void => {
     if (stopped || dials.get(dial.address) !== dial) return
-    const [host, port] = dial.address.split(':')
-    const connection = net.connect(Number(port), host)
+    const connection = net.connect(dial.target)
     const socket = new ws.WebSocket(`ws://${dial.address}`, { ...socketOptions, createConnection: () => connection })
     const link = addLink(socket, connection, dial.address)
     link.helloDeadline = timers.monotonic() + CONNECT_TIMEOUT_MS
@@ -320,8 +315,9 @@
     },
     dial: (address) => {
       if (dials.has(address) || address === hello.address || stopped) return
-      if (!isAddress(address)) return log.warn('address-malformed', { address })
-      const dial: Dial = { address, failures: 0, cancel: () => {} }
+      const target = addresses.parseAddress(address)
+      if (!target) return log.warn('address-malformed', { address })
+      const dial: Dial = { address, target, failures: 0, cancel: () => {} }
       dials.set(address, dial)
       connect(dial)
     },
