Restore a worker only from a valid row, and only its known fields

Operators saw agents that ended at each start, or never used their worker. A row in the table of workers with very deeply nested labels was decoded, but could not be encoded in the update for entries: the agent ended. A row with `bornMs` far ahead of the clock made all reports of the true worker count as those of an earlier incarnation.

Cause: the row was checked for a few fields only, then used as it was. JSON.parse reads any depth; JSON.stringify and msgpackr recurse.

An agent with another row starts without a worker, with the log line `worker-not-recalled`.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -106,7 +106,7 @@
     const result = await follow.hedged(() => store.row('workers', name), timers)
     if (result.kind === 'error') return log.warn('worker-not-recalled', { reason: result.error.kind })
     if (!result.value || agent.worker()) return
-    const worker = workerRows.parse(result.value.value)
+    const worker = workerRows.parse(result.value.value, timers.now().getTime())
     if (!worker) return log.warn('worker-not-recalled', { reason: 'unreadable row' })
     storedRow = result.value.value
     agent.workerAnnounced(worker, undefined)
--- a/packages/fleet/src/status.ts
+++ b/packages/fleet/src/status.ts
@@ -1,3 +1,4 @@
+import type * as clocks from '@mustarddeck/clock'
 import * as errors from '@mustarddeck/errors'
 import type * as runs from '@mustarddeck/runs'
 import type * as stores from './store.ts'
@@ -5,6 +6,7 @@
 
 export interface Options {
   store: stores.Store
+  clock: clocks.Clock
   /** Returns the metrics text of the process on the host, or undefined if it doesn't respond. */
   metricsOf (host: string): Promise<string | undefined>
 }
@@ -33,7 +35,9 @@
   new Map([...text.matchAll(SAMPLE)].map(([, name, value]) => [name!, Number(value)]))
 
 /** Lists the processes in the store and queries each of them. */
-export const collect = async ({ store, metricsOf }: Options): Promise<errors.Result<Status, stores.StoreError>> => {
+export const collect = async (
+  { store, clock, metricsOf }: Options
+): Promise<errors.Result<Status, stores.StoreError>> => {
   const [entries, workers] = await Promise.all([store.rows('entries'), store.rows('workers')])
   if (entries.kind === 'error') return entries
   if (workers.kind === 'error') return workers
@@ -45,6 +49,7 @@
     ...entries.value.map(({ value }) => ask('entry', value.split(':')[0]!)),
     ...workers.value.map(({ key }) => ask('agent', key))
   ])
-  const workerStatuses = workers.value.map(({ key, value }) => ({ agent: key, worker: workerRows.parse(value) }))
+  const nowMs = clock.now().getTime()
+  const workerStatuses = workers.value.map(({ key, value }) => ({ agent: key, worker: workerRows.parse(value, nowMs) }))
   return errors.ok({ processes, workers: workerStatuses })
 }
--- a/packages/fleet/src/worker-row.ts
+++ b/packages/fleet/src/worker-row.ts
@@ -1,14 +1,25 @@
 import type * as runs from '@mustarddeck/runs'
+import * as validation from './validation.ts'
 
-/** Parses the worker row that an agent stores; returns undefined if the text has another format. */
-export const parse = (text: string): runs.Worker | undefined => {
+/**
+ * Time in ms by which a worker's start may lie ahead of this process's clock. A start far ahead would shut out the true
+ * worker, as that of an earlier incarnation.
+ */
+const MAX_AHEAD_MS = 86_400_000
+
+const parseJson = (text: string): unknown => {
   try {
-    const worker = JSON.parse(text) as runs.Worker
-    return typeof worker.id === 'string' && typeof worker.bornMs === 'number' && Array.isArray(worker.labels) &&
-      typeof worker.capacity.millicores === 'number' && typeof worker.capacity.memoryMb === 'number'
-      ? worker
-      : undefined
+    return JSON.parse(text)
   } catch {
     return undefined
   }
 }
+
+/** Parses the worker row that an agent stores, at `nowMs` in Unix time; returns undefined if it has another format. */
+export const parse = (text: string, nowMs: number): runs.Worker | undefined => {
+  const worker = parseJson(text)
+  if (!validation.isWorker(worker) || worker.bornMs > nowMs + MAX_AHEAD_MS) return undefined
+  // Only known fields are kept: others may be nested too deeply to be encoded.
+  const { id, bornMs, service, zone, labels, leaving, capacity: { millicores, memoryMb, accelerators } } = worker
+  return { id, bornMs, service, zone, capacity: { millicores, memoryMb, accelerators }, labels, leaving }
+}
