Check the ranges of peers' messages, and pass on known fields only

Operators saw an entry end after one odd message of a peer: a configuration with an additional field that was nested 1,500 deep was accepted, and could not be encoded when another peer asked for it. One with `maxBodyBytes` of -1 made entries answer all callers with 413; other numbers were accepted if they were finite, and spread to all processes.

Cause: messages were checked for numbers, not for their ranges, and kept with all fields. msgpackr decodes deeper values than it encodes.

Counts and versions are now whole and safe, amounts and durations bounded. A configuration from a peer is copied field by field.

--- a/packages/fleet/src/deployment.ts
+++ b/packages/fleet/src/deployment.ts
@@ -34,3 +34,18 @@
   }
   return best
 }
+
+/** Copies the known fields of a configuration. */
+export const copy = ({ version, routes, limits }: Deployment): Deployment => {
+  const { maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs } = limits
+  return {
+    version,
+    routes: routes.map(({ host, pathPrefix, patienceMs, needsAdvice, queue }) => {
+      const { name, service, priority, maxAttempts, stretch, objectiveMs } = queue
+      return {
+        host, pathPrefix, patienceMs, needsAdvice, queue: { name, service, priority, maxAttempts, stretch, objectiveMs }
+      }
+    }),
+    limits: { maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs }
+  }
+}
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -54,8 +54,9 @@
     options.onPause(pause)
     links.closeAll('process stood still')
   })
-  const receive = (session: sessions.Session, message: unknown): void => {
-    if (!messageValidation.isMessage(message)) {
+  const receive = (session: sessions.Session, received: unknown): void => {
+    const message = messageValidation.parse(received)
+    if (!message) {
       log.warn('message-malformed', { peer: session.peer.name })
       return links.close(session.id, 'malformed message')
     }
--- a/packages/fleet/src/message-validation.ts
+++ b/packages/fleet/src/message-validation.ts
@@ -1,56 +1,58 @@
+import * as deployments from './deployment.ts'
 import type * as messages from './messages.ts'
+import * as validation from './validation.ts'
 
-type Fields = Record<string, unknown>
+const { isAmount, isCount, isDurationMs, isFields, isFlag, isListOf, isNumber, isResources, isText } = validation
 
-const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null && !Array.isArray(value)
-const isText = (value: unknown): boolean => typeof value === 'string'
-const isNumber = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value)
-const isFlag = (value: unknown): boolean => typeof value === 'boolean'
-const isListOf = (value: unknown, isItem: (item: unknown) => boolean): boolean =>
-  Array.isArray(value) && value.every(isItem)
 const isOptional = (value: unknown, isValue: (value: unknown) => boolean): boolean =>
   value === undefined || value === null || isValue(value)
 
-const isResources = (value: unknown): boolean =>
+/** True for free resources, which are negative while a worker with less capacity still has its runs. */
+const isFree = (value: unknown): boolean =>
   isFields(value) && isNumber(value['millicores']) && isNumber(value['memoryMb']) && isNumber(value['accelerators'])
-const isWorker = (value: unknown): boolean =>
-  isFields(value) && isText(value['id']) && isNumber(value['bornMs']) && isText(value['service']) && isText(value['zone']) &&
-  isResources(value['capacity']) && isListOf(value['labels'], isText) && isFlag(value['leaving'])
-const isRequestedTask = (value: unknown): boolean =>
-  isFields(value) && isText(value['task']) && isNumber(value['order']) && isNumber(value['run']) && isResources(value['amount'])
-const isUrgency = (value: unknown): boolean => isFields(value) && isNumber(value['priority']) && isNumber(value['withinMs'])
+const isRequestedTask = (value: unknown): value is validation.Fields =>
+  isFields(value) && isText(value['task']) && isCount(value['order']) && isCount(value['run']) && isResources(value['amount'])
+const isUrgency = (value: unknown): boolean =>
+  isFields(value) && isNumber(value['priority']) && isNumber(value['withinMs'])
 const isQueue = (value: unknown): boolean =>
-  isFields(value) && isText(value['name']) && isText(value['service']) && isNumber(value['priority']) &&
-  isNumber(value['maxAttempts']) && isNumber(value['stretch']) && isNumber(value['objectiveMs'])
-const isRoute = (value: unknown): boolean =>
-  isFields(value) && isText(value['host']) && isText(value['pathPrefix']) && isNumber(value['patienceMs']) &&
+  isFields(value) && isText(value['name']) && isText(value['service']) && isCount(value['priority']) &&
+  isCount(value['maxAttempts']) && isAmount(value['stretch']) && isDurationMs(value['objectiveMs'])
+const isRoute = (value: unknown): value is deployments.Route =>
+  isFields(value) && isText(value['host']) && isText(value['pathPrefix']) && isDurationMs(value['patienceMs']) &&
   isFlag(value['needsAdvice']) && isQueue(value['queue'])
 const isLimits = (value: unknown): boolean =>
-  isFields(value) && isNumber(value['maxHeaderBytes']) && isNumber(value['maxBodyBytes']) &&
-  isNumber(value['headerTimeoutMs']) && isNumber(value['idleTimeoutMs'])
+  isFields(value) && isCount(value['maxHeaderBytes']) && isCount(value['maxBodyBytes']) &&
+  isDurationMs(value['headerTimeoutMs']) && isDurationMs(value['idleTimeoutMs'])
 const isDeployment = (value: unknown): boolean =>
-  isFields(value) && isNumber(value['version']) && isListOf(value['routes'], isRoute) && isLimits(value['limits'])
-const isCounts = (value: unknown): boolean => isFields(value) && Object.values(value).every(isNumber)
+  isFields(value) && isCount(value['version']) && isListOf(value['routes'], isRoute) && isLimits(value['limits'])
+const isCounts = (value: unknown): boolean => isFields(value) && Object.values(value).every(isCount)
 
-const VALIDATORS: Record<messages.Message['kind'], (message: Fields) => boolean> = {
-  start: ({ sequence, spec, tasks }) => isNumber(sequence) && isText(spec) && isListOf(tasks, isRequestedTask),
+const VALIDATORS: Record<messages.Message['kind'], (message: validation.Fields) => boolean> = {
+  start: ({ sequence, spec, tasks }) => isCount(sequence) && isText(spec) && isListOf(tasks, isRequestedTask),
   stop: ({ tasks }) => isListOf(tasks, isText),
   want: ({ urgency }) => isOptional(urgency, isUrgency),
   room: ({ sequence, sharers, worker, free }) =>
-    isNumber(sequence) && isNumber(sharers) && isOptional(worker, isWorker) && isResources(free),
+    isCount(sequence) && isCount(sharers) && sharers > 0 && isOptional(worker, validation.isWorker) && isFree(free),
   ended: ({ task, order, run, end, ranMs, reason }) =>
-    isText(task) && isNumber(order) && isNumber(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
-  version: ({ version }) => isNumber(version),
+    isText(task) && isCount(order) && isCount(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
+  version: ({ version }) => isCount(version),
   'deployment-wanted': () => true,
   deployment: ({ deployment }) => isDeployment(deployment),
   entries: ({ addresses }) => isListOf(addresses, isText),
   status: ({ storeReachable, waiting }) => isFlag(storeReachable) && isCounts(waiting),
-  cancel: ({ request, key }) => isNumber(request) && isText(key),
-  'cancel-reply': ({ request, known }) => isNumber(request) && isFlag(known)
+  cancel: ({ request, key }) => isCount(request) && isText(key),
+  'cancel-reply': ({ request, known }) => isCount(request) && isFlag(known)
 }
 
-/** Tells whether a value received from a peer has the fields of its kind of message. */
-export const isMessage = (value: unknown): value is messages.Message => {
-  if (!isFields(value) || typeof value['kind'] !== 'string' || !Object.hasOwn(VALIDATORS, value['kind'])) return false
-  return VALIDATORS[value['kind'] as messages.Message['kind']](value)
+const isMessage = (value: unknown): value is messages.Message =>
+  isFields(value) && typeof value['kind'] === 'string' && Object.hasOwn(VALIDATORS, value['kind']) &&
+  VALIDATORS[value['kind'] as messages.Message['kind']](value)
+
+/**
+ * Parses a value received from a peer; returns undefined if it lacks the fields of its kind of message. A configuration
+ * is sent on, so only its known fields are kept: others may be nested too deeply to be encoded.
+ */
+export const parse = (value: unknown): messages.Message | undefined => {
+  if (!isMessage(value)) return undefined
+  return value.kind === 'deployment' ? { ...value, deployment: deployments.copy(value.deployment) } : value
 }
