Keep an entry's own row in the store

An entry removed its own row from the table of entries some 60 s after it had read it: processes that started later could not find it from the store, and an operator's `status` left it out.

Cause: the entry kept its own address among those of other entries, never got a link to it, and took the row for stale. Now it leaves its own address out of what it discovers.

Without the change:

links between entries are not made to this entry itself, whose row stays while that of a lost entry is removed: expected [ 'b', 'c' ] to deeply equal [ 'c' ]

--- a/packages/fleet/src/peers.test.ts
+++ b/packages/fleet/src/peers.test.ts
@@ -13,6 +13,7 @@
 const setUp = (own: string, rows: stores.Row[] = []) => {
   const timers = clock.createVirtual()
   const sent: messages.Message[] = []
+  const removed: string[] = []
   const dialed: string[] = []
   const forgotten: string[] = []
   const closed: number[] = []
@@ -23,16 +24,19 @@
       close: (id: number) => closed.push(id),
       send: (_id: number, message: messages.Message) => { sent.push(message) }
     } as unknown as sessions.Sessions<messages.Message>,
-    store: { rows: async () => errors.ok(rows) } as unknown as stores.Store,
+    store: {
+      rows: async () => errors.ok(rows),
+      remove: async (_table: string, key: string) => { removed.push(key) }
+    } as unknown as stores.Store,
     timers,
     log: logging.create({ level: 'error' }),
     seeds: [],
-    removesStaleRows: false,
+    removesStaleRows: true,
     hello: hello(own),
     maxLinks: Infinity,
     isIdle: () => false
   })
-  return { closed, dialed, forgotten, peers, sent, timers }
+  return { closed, dialed, forgotten, peers, removed, sent, timers }
 }
 
 describe('links between entries', () => {
@@ -74,4 +78,17 @@
     const spread = sent.flatMap((message) => message.kind === 'entries' ? message.addresses : [])
     expect([...new Set(spread)]).to.deep.equal(['b:1'])
   })
+
+  // Without its row, processes that start later can't find the entry.
+  it('are not made to this entry itself, whose row stays while that of a lost entry is removed', async () => {
+    const { dialed, peers, removed, timers } = setUp('b', [{ key: 'b', value: 'b:1' }, { key: 'c', value: 'c:1' }])
+    peers.up({ id: 1, peer: hello('a'), dialed: false })
+    for (let count = 0; count < 200; count++) {
+      timers.advance(500)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    expect([...new Set(removed)]).to.deep.equal(['c'])
+    expect(dialed).to.deep.equal(['c:1'])
+    peers.stop()
+  })
 })
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -68,9 +68,9 @@
   const broadcast = (message: messages.Message): void => {
     for (const id of up.keys()) links.send(id, message)
   }
-  /** Adds the addresses, except malformed ones. Returns true if one of them is new. */
+  /** Adds the addresses, except malformed ones and this process's own. Returns true if one of them is new. */
   const addAddresses = (addresses: string[]): boolean => {
-    const unknown = addresses.filter((address) => !entries.has(address))
+    const unknown = addresses.filter((address) => !entries.has(address) && address !== hello.address)
     const valid = new Set(unknown.filter((address) => sessions.parseAddress(address)))
     const malformed = unknown.filter((address) => !valid.has(address))
     if (malformed.length > 0) log.warn('addresses-malformed', { count: malformed.length, first: malformed[0] })
