Log an unexpected error in a reader and go on following

An exception in handling a frame, in encoding a message or in reading the store ended the process, or ended the chain of reads while the process went on: it followed neither entries nor the configuration any more.

One guard, in the log package, now runs the steps of readers: it logs `reader-failed` with the stack, and the reader goes on. On a link the guard closes it, since the peer must not miss a message and get later ones; it is dialed again, and the runs on it are settled as after any loss. The reads of entries, of the configuration and of the worker's row go on at their usual interval. Timers other than these, and run-agent and job-dispatcher called by timers, are not guarded.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@mustarddeck/clock'
-import type * as log from '@mustarddeck/log'
+import * as logging from '@mustarddeck/log'
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
 import * as follow from './follow.ts'
@@ -23,7 +23,7 @@
   store: stores.Store
   calls: runs.WorkerCalls
   timers: clock.Timers
-  log: log.Log
+  log: logging.Log
   /** Returns the number of log lines left out, by event. */
   leftOutLines (): ReadonlyMap<string, number>
 }
@@ -111,7 +111,7 @@
     storedRow = result.value.value
     agent.workerAnnounced(worker, undefined)
   }
-  restoreWorker()
+  logging.guardAsync(log, 'worker-row', restoreWorker)
 
   return {
     runs: agent,
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@mustarddeck/clock'
-import type * as log from '@mustarddeck/log'
+import * as logging from '@mustarddeck/log'
 import type * as deployments from './deployment.ts'
 import type * as stores from './store.ts'
 
@@ -23,7 +23,7 @@
 export interface Options {
   store: stores.Store
   timers: clock.Timers
-  log: log.Log
+  log: logging.Log
   /** False while peers follow the store on behalf of this process. */
   isNeeded (): boolean
   onChange (deployment: deployments.Deployment): void
@@ -73,7 +73,8 @@
     }
   }
   const pollRepeatedly = async (): Promise<void> => {
-    await (isNeeded() ? poll() : delay(RETRY_DELAY_MS))
+    const followed = isNeeded() && await logging.guardAsync(log, 'configuration', poll)
+    if (!followed) await delay(RETRY_DELAY_MS)
     if (!stopped) pollRepeatedly()
   }
   pollRepeatedly()
@@ -92,11 +93,12 @@
 /** Hedges a slow read with parallel ones. Returns the first success, or the last error if all of them fail. */
 export const hedged = <Value>(
   read: () => Promise<stores.StoreResult<Value>>, timers: clock.Timers
-): Promise<stores.StoreResult<Value>> => new Promise((resolve) => {
+): Promise<stores.StoreResult<Value>> => new Promise((resolve, reject) => {
     let started = 0
     let failed = 0
     let cancel: clock.Cancellation = () => {}
-    const attempt = async (): Promise<void> => {
+    const attempt = (): void => { attemptOnce().catch(reject) }
+    const attemptOnce = async (): Promise<void> => {
       started++
       if (started < MAX_CONCURRENT_READS) cancel = timers.after(HEDGE_DELAY_MS, attempt)
       const result = await read()
--- a/packages/fleet/src/peers.test.ts
+++ b/packages/fleet/src/peers.test.ts
@@ -91,4 +91,16 @@
     expect(dialed).to.deep.equal(['c:1'])
     peers.stop()
   })
+
+  it('are found by further reads of the store after one that fails unexpectedly', async () => {
+    const rows = [{ key: 'c', value: 'c:1' }]
+    Object.defineProperty(rows, '0', { configurable: true, get: () => { throw new RangeError('test') } })
+    const { dialed, peers, timers } = setUp('b', rows)
+    await new Promise((resolve) => setImmediate(resolve))
+    Object.defineProperty(rows, '0', { value: { key: 'c', value: 'c:1' } })
+    timers.advance(1000)
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(dialed).to.deep.equal(['c:1'])
+    peers.stop()
+  })
 })
--- a/packages/fleet/src/peers.ts
+++ b/packages/fleet/src/peers.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@mustarddeck/clock'
-import type * as log from '@mustarddeck/log'
+import * as logging from '@mustarddeck/log'
 import * as sessions from '@mustarddeck/sessions'
 import * as follow from './follow.ts'
 import type * as messages from './messages.ts'
@@ -33,7 +33,7 @@
   links: sessions.Sessions<messages.Message>
   store: stores.Store
   timers: clock.Timers
-  log: log.Log
+  log: logging.Log
   /** Addresses to try first. */
   seeds: string[]
   /** True if this process removes the rows of entries that are gone from the store. */
@@ -137,13 +137,17 @@
       store.remove('entries', key)
     }
   }
-  const readEntries = async (): Promise<void> => {
+  const readEntriesOnce = async (): Promise<void> => {
     const result = await follow.hedged(() => store.rows('entries'), timers)
     if (stopped) return
     if (result.kind === 'ok') {
       learn(result.value.map(({ value }) => value))
       if (removesStaleRows) removeStaleRows(result.value)
     } else log.debug('entries-unread', { reason: result.error.kind })
+  }
+  const readEntries = async (): Promise<void> => {
+    await logging.guardAsync(log, 'entries', readEntriesOnce)
+    if (stopped) return
     cancelRead = timers.after(hasLink() ? LINKED_READ_INTERVAL_MS : UNLINKED_READ_INTERVAL_MS, readEntries)
   }
   learn(seeds)
--- a/packages/sessions/src/sessions.test.ts
+++ b/packages/sessions/src/sessions.test.ts
@@ -13,7 +13,7 @@
 const lateTimers: clock.Timers = {
   ...systemTimers, after: (delayMs, callback) => systemTimers.after(delayMs + LATE_MS, callback)
 }
-const log = logging.create({ level: 'error' })
+const quietLog = logging.create({ level: 'error' })
 
 interface Peer {
   links: sessions.Sessions<unknown>
@@ -23,7 +23,10 @@
   down: Array<{ at: number, trustedUntil: number }>
 }
 
-const createPeer = (name: string, pace: sessions.Pace = sessions.PROMPT, timers: clock.Timers = systemTimers): Peer => {
+const createPeer = (
+  name: string, pace: sessions.Pace = sessions.PROMPT,
+  { log = quietLog, onMessage = (): void => {}, timers = systemTimers } = {}
+): Peer => {
   const peer: Omit<Peer, 'links'> = { up: [], received: [], down: [] }
   const links = sessions.create<unknown>({
     hello: { role: name, name, life: `${name}-life`, address: '' },
@@ -34,7 +37,10 @@
     pace: () => pace,
     handler: {
       up: (session) => peer.up.push(session),
-      message: (_session, message) => peer.received.push(message),
+      message: (_session, message) => {
+        peer.received.push(message)
+        onMessage()
+      },
       down: (_session, trustedUntil) => peer.down.push({ at: timers.monotonic(), trustedUntil })
     }
   })
@@ -177,8 +183,8 @@
 
     beforeEach(async () => {
       const port = await freePort()
-      busyEntry = createPeer('busy entry', sessions.PROMPT, lateTimers)
-      busyAgent = createPeer('busy agent', sessions.PROMPT, lateTimers)
+      busyEntry = createPeer('busy entry', sessions.PROMPT, { timers: lateTimers })
+      busyAgent = createPeer('busy agent', sessions.PROMPT, { timers: lateTimers })
       await busyEntry.links.listen(HOST, port)
       busyAgent.links.dial(`${HOST}:${port}`)
       await until(() => busyEntry.up.length === 1 && busyAgent.up.length === 1)
@@ -206,6 +212,25 @@
     })
   })
 
+  it('is closed when its message makes the reader fail, or cannot be encoded, and dialed again', async () => {
+    const lines: string[] = []
+    const failing = createPeer('failing', sessions.PROMPT, {
+      log: logging.create({ level: 'error', destination: { write: (line) => { lines.push(line) } } }),
+      onMessage: () => { throw new RangeError('test') }
+    })
+    failing.links.dial(proxy.address)
+    await until(() => failing.up.length === 1 && entry.up.length === 2)
+    entry.links.send(entry.up[1]!.id, 'odd')
+    await until(() => failing.up.length === 2)
+    let nested: unknown[] = []
+    for (let depth = 0; depth < 20_000; depth++) nested = [nested]
+    failing.links.send(failing.up[1]!.id, nested)
+    await until(() => failing.up.length === 3)
+    failing.links.stop()
+    expect(lines.map((line) => /reader-failed.*RangeError/.test(line))).to.deep.equal([true, true])
+    expect(agent.down).to.deep.equal([])
+  })
+
   it('is dialed again after it is closed', async () => {
     entry.links.closeAll('test')
     await until(() => agent.up.length === 2)
--- a/packages/sessions/src/sessions.ts
+++ b/packages/sessions/src/sessions.ts
@@ -1,5 +1,5 @@
 import type * as clock from '@mustarddeck/clock'
-import type * as log from '@mustarddeck/log'
+import * as log from '@mustarddeck/log'
 import type * as random from '@mustarddeck/random'
 import * as msgpackr from 'msgpackr/pack'
 import * as net from 'node:net'
@@ -153,7 +153,7 @@
   dialed ? timeoutMs : timeoutMs + heartbeatMs
 
 export const create = <Message>(options: Options<Message>): Sessions<Message> => {
-  const { hello, timers, random: generator, log, handler, beforeInput } = options
+  const { hello, timers, random: generator, log: writer, handler, beforeInput } = options
   const packr = new msgpackr.Packr({ useRecords: false, variableMapSize: true, structuredClone: false })
   const links = new Map<number, Link<Message>>()
   const dials = new Map<string, Dial>()
@@ -164,7 +164,8 @@
 
   const write = (link: Link<Message>, content: unknown): void => {
     if (link.socket.readyState !== ws.WebSocket.OPEN) return
-    link.socket.send(packr.pack(content))
+    // A message that can't be encoded must not be missed by the peer while later ones arrive.
+    if (!log.guard(writer, 'link', () => link.socket.send(packr.pack(content)))) return close(link, 'frame not sent')
     if (link.socket.bufferedAmount > MAX_BUFFERED_BYTES) close(link, 'peer does not read')
   }
   const flush = (link: Link<Message>): void => {
@@ -209,7 +210,7 @@
     if (link.session) {
       const { session } = link
       const now = timers.monotonic()
-      log.info('link-down', { link: link.id, peer: session.peer.name, reason, heardMsAgo: Math.round(now - link.receivedAt) })
+      writer.info('link-down', { link: link.id, peer: session.peer.name, reason, heardMsAgo: Math.round(now - link.receivedAt) })
       // A peer that closed the link itself no longer trusts this process.
       const peerTrustMs = echoTimeoutMs(link.pace, !session.dialed) + TIMER_TOLERANCE_MS
       const trustedUntil = closedBy === 'peer' ? now : link.receivedAt + peerTrustMs
@@ -243,7 +244,7 @@
       link.echoedAt = link.receivedAt
       const dial = link.address === undefined ? undefined : dials.get(link.address)
       if (dial) dial.failures = 0
-      log.info('link-up', { link: link.id, peer: content.name, role: content.role, address: content.address })
+      writer.info('link-up', { link: link.id, peer: content.name, role: content.role, address: content.address })
       handler.up(link.session)
       schedule(link, 1)
       return flush(link)
@@ -282,7 +283,9 @@
       closed: false
     }
     links.set(link.id, link)
-    socket.on('message', (data) => onFrame(link, data as Buffer))
+    socket.on('message', (data) => {
+      if (!log.guard(writer, 'link', () => onFrame(link, data as Buffer))) close(link, 'frame not handled')
+    })
     connection.on('end', () => { hasPeerEnded = true })
     socket.on('error', (cause) => close(link, cause.message))
     // The peer may not know of a reset by a network component in between.
@@ -309,14 +312,14 @@
         started.once('listening', resolve)
         started.once('error', reject)
       })
-      started.on('error', (cause) => log.error('link-server-failed', { reason: cause.message }))
+      started.on('error', (cause) => writer.error('link-server-failed', { reason: cause.message }))
       started.on('connection', (socket, request) =>
         schedule(addLink(socket, request.socket, undefined), HANDSHAKE_TIMEOUT_MS))
     },
     dial: (address) => {
       if (dials.has(address) || address === hello.address || stopped) return
       const target = addresses.parseAddress(address)
-      if (!target) return log.warn('address-malformed', { address })
+      if (!target) return writer.warn('address-malformed', { address })
       const dial: Dial = { address, target, failures: 0, cancel: () => {} }
       dials.set(address, dial)
       connect(dial)
