Answer, count and start deferred orders like others

Callers could be told 'not run' of a job whose earlier attempt had run: the order that had waited for that run was refused for another reason, and the entry did not learn of the run. A deferred order was also started without checking the trust in its entry, did not count as work of its entry, so that an agent with many links could close that link, and was left without an answer if the order before it was refused. An entry whose agent had refused a task as still running never placed it elsewhere, even if that agent was gone.

A deferred order that can't be started is refused as earlier-run; trust is checked before it starts; it counts as work; all of a task's orders get an answer. A refusal as still-running keeps the task from other agents for the time after which lost runs have ended.

--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -25,7 +25,7 @@
 const isEligible = (agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, now: number): boolean => {
   const { worker } = agent
   const { task, job } = state
-  if (state.heldBy !== undefined && agent.name !== state.heldBy) return false
+  if (state.heldBy !== undefined && agent.name !== state.heldBy && now < state.heldUntil) return false
   if (!worker || worker.leaving || worker.service !== job.job.queue.service) return false
   if (!runs.fits(task.amount, agent.free)) return false
   if (task.label && !worker.labels.includes(task.label)) return false
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -1,95 +1,10 @@
-import * as clock from '@mustarddeck/clock'
-import * as logging from '@mustarddeck/log'
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
-import * as standIn from '@mustarddeck/worker-stand-in'
 import { expect } from 'chai'
-import * as fleetDiscovery from './fleet-discovery.ts'
-import * as jobDispatcher from './index.ts'
+import type * as jobDispatcher from './index.ts'
+import * as smallFleet from './testing/small-fleet.ts'
 
-/** One-way latency of a link in ms. */
-const LINK_MS = 1
-const TASK_AMOUNT = { millicores: 1600, memoryMb: 64, accelerators: 0 }
-const QUEUE: jobDispatcher.Queue = {
-  name: 'settle' as jobDispatcher.QueueName, service: 'corkbook', priority: 0, maxAttempts: 3, stretch: 1.6, objectiveMs: 60
-}
-
-const setUp = async ({ workers = 2, slots = 3, runMs = 200, linked = true } = {}) => {
-  const timers = clock.createVirtual({ start: new Date(1_000_000) })
-  const site = standIn.createSite()
-  const log = logging.create({ level: 'error' })
-  const pass = (ms: number): Promise<void> => standIn.advance(timers, ms)
-  const cut = new Set<number>()
-  const observed: string[] = []
-  const sent: Array<runs.ToAgent & { link: number }> = []
-
-  const fleet = Array.from({ length: workers }, (_, index) => {
-    const link = index + 1
-    const worker = standIn.create({
-      id: `i-${link}`,
-      capacity: { millicores: TASK_AMOUNT.millicores * slots, memoryMb: 10_000, accelerators: 0 },
-      resourcesOf: () => TASK_AMOUNT,
-      runMsOf: () => runMs,
-      site,
-      timers
-    })
-    const toEntry = (message: runs.FromAgent): void => {
-      timers.after(LINK_MS, () => { if (!cut.has(link)) entry.receive(link, message) })
-    }
-    const send = (_link: number, message: runs.FromAgent): void => toEntry(message)
-    const agent = runAgent.create({
-      calls: worker.calls, timers, log, send, closeExpiredLinks: () => {}, onRunEnd: () => {}
-    })
-    return { agent, link, worker }
-  })
-  const entry = jobDispatcher.create({
-    timers,
-    log,
-    zone: 'khangai-a',
-    lapseAfterMs: runAgent.LAPSE_AFTER_MS,
-    send: (link, message) => {
-      sent.push({ ...message, link })
-      timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
-    },
-    onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
-    onRefusedOrder: (reason) => observed.push(`order ${reason}`)
-  })
-  const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
-    entry.agentUp(link, worker.worker().id, 'incarnation')
-    agent.linkUp(0, 'entry-1')
-    agent.workerAnnounced(worker.worker(), undefined)
-  }
-  if (linked) {
-    fleet.forEach(linkUp)
-    // The entry knows its part of the fleet from then on.
-    await pass(fleetDiscovery.START_MS)
-  }
-
-  let nextKey = 1
-  const submit = ({
-    tasks = 1, callerTimeoutMs = 5000, queue = QUEUE, label = undefined as string | undefined
-  } = {}) => {
-    const key = (nextKey++).toString(16).padStart(16, '0') as runs.JobKey
-    const job: jobDispatcher.Job = {
-      key,
-      queue,
-      spec: 'pay',
-      callerTimeoutMs,
-      steps: [{
-        after: [],
-        maxPerWorker: Infinity,
-        tasks: Array.from({ length: tasks }, (_, index) => ({
-          id: `${key}.0.0.${index}` as runs.TaskId, amount: TASK_AMOUNT, estimateMs: runMs, label, rack: undefined
-        }))
-      }]
-    }
-    const result = { key, answer: undefined as jobDispatcher.Outcome | undefined, at: 0, job }
-    const answer: jobDispatcher.Answer = (outcome) => Object.assign(result, { answer: outcome, at: timers.monotonic() })
-    entry.submit(job, answer)
-    return { ...result, result, abandon: () => entry.abandon(key, answer) }
-  }
-  return { cut, entry, fleet, linkUp, observed, pass, sent, site, submit, timers }
-}
+const { QUEUE, TASK_AMOUNT, setUp } = smallFleet
 
 describe('dispatcher of jobs with waiting callers', () => {
   it('answers when all tasks of a job have ended', async () => {
@@ -417,4 +332,40 @@
     entry.drain(500)
     expect(submit().result.answer).to.deep.include({ kind: 'not-run', reason: 'draining' })
   })
+
+  // The agent keeps the order until the earlier run has ended, and refuses it then for another reason.
+  it('does not answer not-run when an earlier attempt of the job has run while its order was deferred', async () => {
+    const { fleet, pass, site, submit } = await setUp({ workers: 1, runMs: 400 })
+    const { agent } = fleet[0]!
+    const tasks = [{ task: '0000000000000001.0.0.0' as runs.TaskId, order: 77, run: 1, amount: TASK_AMOUNT }]
+    agent.linkUp(8, 'entry-2')
+    agent.receive(8, { kind: 'start', sequence: 1, spec: 'pay', tasks })
+    await pass(100)
+    const { result } = submit()
+    await pass(10)
+    agent.drain(() => {})
+    await pass(5000)
+    expect(site.starts.get('0000000000000001.0.0.0' as runs.TaskId)).to.equal(1)
+    expect(result.answer).to.have.property('kind', 'unknown')
+  })
+
+  it('runs a task elsewhere in the end when the agent that refused it as still running is gone', async () => {
+    const { cut, entry, fleet, pass, site, submit, timers } = await setUp()
+    const { key } = submit({ callerTimeoutMs: 5000 })
+    await pass(10)
+    const holder = fleet.find(({ worker }) => worker.running().length > 0)!
+    cut.add(holder.link)
+    holder.agent.linkDown(0)
+    const task = `${key}.0.0.0` as runs.TaskId
+    const tell = (order: number): void => entry.receive(holder.link, {
+      kind: 'ended', task, order, run: 0, end: 'unstarted', ranMs: 0, reason: 'still-running'
+    })
+    entry.receive(holder.link, { kind: 'room', sequence: 1, sharers: 1, free: { millicores: 0, memoryMb: 0, accelerators: 0 } })
+    tell(1)
+    await pass(5)
+    entry.agentDown(holder.link, timers.monotonic())
+    await pass(3000)
+    expect(site.violations).to.deep.equal([])
+    expect(site.starts.get(task)).to.equal(2)
+  })
 })
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -107,9 +107,9 @@
     if (message.end === 'unstarted') {
       if (message.reason === 'unwell') recordHealth(task, agent, true, message.ranMs)
       // A run that an earlier attempt has ordered through another entry.
+      if (message.reason === 'still-running' || message.reason === 'earlier-run') job.mayHaveStarted = true
       if (message.reason === 'still-running') {
-        job.mayHaveStarted = true
-        task.heldBy = agent.name
+        Object.assign(task, { heldBy: agent.name, heldUntil: timers.monotonic() + lapseAfterMs })
       }
       options.onRefusedOrder(message.reason ?? 'unknown')
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -25,6 +25,8 @@
   avoidedAgents: Set<string>
   /** Name of the agent that still has an earlier run of the task; the task is not placed elsewhere. */
   heldBy: string | undefined
+  /** Monotonic ms from which it may be placed elsewhere after all. */
+  heldUntil: number
   orderedAt: number
   /** Monotonic ms by which a lost task has certainly ended. */
   mayRunUntil: number
@@ -91,6 +93,7 @@
     failures: 0,
     avoidedAgents: new Set(),
     heldBy: undefined,
+    heldUntil: 0,
     orderedAt: 0,
     mayRunUntil: 0
   })))
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -322,4 +322,45 @@
     await pass(300)
     expect(empty).to.equal(true)
   })
+
+  // The entry gave up the link before the run ended; its timer in this process is late.
+  it('starts no deferred order of an entry that no longer trusts it', async () => {
+    const { agent, expiredLinks, order, pass, site } = await setUp({ runMs: 400 })
+    order(0)
+    await pass(20)
+    agent.linkUp(2, 'entry-2')
+    const tasks = [{ task: task(0), order: 1, run: 1, amount: TASK_AMOUNT }]
+    agent.receive(2, { kind: 'start', sequence: 1, spec: 'weigh', tasks })
+    await pass(370)
+    // The pending list call was made before, and its answer brings the end of the run.
+    expiredLinks.push(2)
+    await pass(100)
+    expect(site.starts.get(task(0))).to.equal(1)
+  })
+
+  // Links to entries without runs are closed when there are too many. The entry would start the task elsewhere.
+  it('counts a deferred order as work of its entry', async () => {
+    const { agent, order, pass } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(20)
+    agent.linkUp(2, 'entry-2')
+    const tasks = [{ task: task(0), order: 1, run: 1, amount: TASK_AMOUNT }]
+    agent.receive(2, { kind: 'start', sequence: 1, spec: 'weigh', tasks })
+    expect(agent.runCountOf('entry-2')).to.equal(1)
+  })
+
+  it('answers each deferred order of a task when it starts none', async () => {
+    const { agent, messages, order, pass } = await setUp()
+    order(0)
+    await pass(20)
+    const tasks = [{ task: task(0), order: 7, run: 1, amount: TASK_AMOUNT }]
+    for (const link of [2, 3]) {
+      agent.linkUp(link, `entry-${link}`)
+      agent.receive(link, { kind: 'start', sequence: 1, spec: 'weigh', tasks })
+    }
+    agent.drain(() => {})
+    await pass(2000)
+    const refused = messages.filter((message) => message.kind === 'ended' && message.end === 'unstarted')
+    expect(refused).to.have.length(2)
+  })
 })
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -43,7 +43,7 @@
   worker (): runs.Worker | undefined
   /** Number of runs that hold capacity on the worker. */
   runCount (): number
-  /** Number of those runs that this incarnation of an entry has ordered. */
+  /** Number of those runs, and of orders that wait for one, that this incarnation of an entry has ordered. */
   runCountOf (entry: string): number
   stop (): void
 }
@@ -114,10 +114,24 @@
     writeLog('run-end', { task: run.task, run: run.run, end, ranMs, stopMs, reason })
     updates.runEnded()
     sendToEntry(run, { kind: 'ended', task: run.task, order: run.order, run: run.run, end, ranMs, reason })
-    const next = deferred.next(run.task)
-    if (next) start(next.link, next.spec, next.requested)
+    startDeferred(run.task)
     if (whenEmpty && ledger.size() === 0) whenEmpty()
   }
+  /** Starts the first order that waited for the end of the task's run; one that can't start now is refused. */
+  const startDeferred = (task: runs.TaskId): void => {
+    if (!deferred.has(task)) return
+    closeExpiredLinks()
+    for (let next = deferred.next(task); next; next = deferred.next(task)) {
+      const reason = refusalOf(next.requested)
+      if (reason === undefined) {
+        startRun(next.link, next.spec, next.requested)
+        return
+      }
+      log.info('run-refused', { task, reason })
+      // The entry must learn that an earlier run of the task has started.
+      refuse(next.link, next.requested, 'earlier-run')
+    }
+  }
   const refuse = (link: number, { task, order }: runs.RequestedTask, reason: string): void => {
     log.info('run-refused', { task, reason })
     send(link, { kind: 'ended', task, order, run: 0, end: 'unstarted', ranMs: 0, reason })
@@ -164,12 +178,20 @@
     stopRun(run)
   }
 
-  const start = async (link: number, spec: string, requested: runs.RequestedTask): Promise<void> => {
+  const refusalOf = ({ amount }: runs.RequestedTask): string | undefined => {
+    if (!isReady()) return 'not-ready'
+    return runs.fits(amount, ledger.free()) ? undefined : 'no-room'
+  }
+  const start = (link: number, spec: string, requested: runs.RequestedTask): void => {
     if (ledger.get(requested.task)) return deferred.add({ link, spec, requested })
-    if (!isReady() || !worker) return refuse(link, requested, 'not-ready')
-    if (!runs.fits(requested.amount, ledger.free())) return refuse(link, requested, 'no-room')
-    const leaseUntilMs = orderLease()
-    if (leaseUntilMs === undefined) return refuse(link, requested, 'not-ready')
+    const reason = refusalOf(requested)
+    if (reason === undefined) startRun(link, spec, requested)
+    else refuse(link, requested, reason)
+  }
+  const startRun = async (link: number, spec: string, requested: runs.RequestedTask): Promise<void> => {
+    // Both are known while the agent is ready.
+    const leaseUntilMs = orderLease()!
+    const target = worker!.id
     const run: runLedger.Run = {
       task: requested.task,
       run: ledger.nextRun(requested.task, requested.run),
@@ -189,7 +211,7 @@
     lease.recordRequest(leaseUntilMs)
     log.info('run-order', { task: run.task, run: run.run, link, freeMillicores: ledger.free().millicores })
     const order = { task: run.task, run: run.run, spec, leaseUntilMs, token: token.current() }
-    onStartReply(run, await calls.start(worker.id, order, CALL_TIMEOUT_MS))
+    onStartReply(run, await calls.start(target, order, CALL_TIMEOUT_MS))
   }
 
   /**
@@ -370,7 +392,8 @@
     resumed: () => { listedAt = -Infinity },
     worker: () => worker,
     runCount: () => ledger.size(),
-    runCountOf: (entry) => [...ledger.all()].filter((run) => run.entry === entry).length,
+    runCountOf: (entry) => [...ledger.all()].filter((run) => run.entry === entry).length +
+      deferred.count((link) => entryByLink.get(link) === entry),
     stop: () => {
       stopped = true
       updates.stop()
--- a/packages/run-agent/src/deferred-orders.ts
+++ b/packages/run-agent/src/deferred-orders.ts
@@ -13,6 +13,9 @@
  */
 export interface DeferredOrders {
   add (order: DeferredOrder): void
+  has (task: runs.TaskId): boolean
+  /** Number of orders that came over links of the given kind. */
+  count (isCounted: (link: number) => boolean): number
   /** Removes and returns the first order of the task. */
   next (task: runs.TaskId): DeferredOrder | undefined
   /** Removes and returns the orders of the task that came over the link. */
@@ -31,6 +34,8 @@
   }
   return {
     add: (order) => { orders.push(order) },
+    has: (task) => orders.some(({ requested }) => requested.task === task),
+    count: (isCounted) => orders.filter(({ link }) => isCounted(link)).length,
     next: (task) => {
       const index = orders.findIndex(({ requested }) => requested.task === task)
       return index < 0 ? undefined : orders.splice(index, 1)[0]
