--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -368,4 +368,27 @@
     expect(site.violations).to.deep.equal([])
     expect(site.starts.get(task)).to.equal(2)
   })
+
+  // The run belongs to another entry, which has not noticed that its caller left, and the order waits at the agent.
+  it('does not start a task elsewhere when the link fails over which its agent deferred the order', async () => {
+    const { cut, entry, fleet, pass, site, submit, timers } = await setUp({ runMs: 4000 })
+    const [holder, other] = fleet
+    const startAt = ({ agent }: typeof fleet[number], link: number, key: string, count: number): void => {
+      agent.linkUp(link, `entry-${link}`)
+      const tasks = Array.from({ length: count }, (_, index) => (
+        { task: `${key}.0.0.${index}` as runs.TaskId, order: 1, run: 1, amount: TASK_AMOUNT }))
+      agent.receive(link, { kind: 'start', sequence: 1, spec: 'pay', tasks })
+    }
+    startAt(holder!, 8, '0000000000000001', 1)
+    startAt(other!, 9, '00000000000000fe', 2)
+    await pass(300)
+    const { key } = submit({ queue: { ...QUEUE, stretch: 5 } })
+    expect(key).to.equal('0000000000000001')
+    await pass(50)
+    cut.add(holder!.link)
+    holder!.agent.linkDown(0)
+    entry.agentDown(holder!.link, timers.monotonic())
+    await pass(2000)
+    expect(site.violations).to.deep.equal([])
+  })
 })
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -363,4 +363,43 @@
     const refused = messages.filter((message) => message.kind === 'ended' && message.end === 'unstarted')
     expect(refused).to.have.length(2)
   })
+
+  // The deadline of a call is a time on the clock of the former incarnation; the new one grants its maximum.
+  it('lets a run lapse in time that it started before it learned of the restart of the worker', async () => {
+    const { agent, order, pass, worker } = await setUp({ runMs: 5000 })
+    await pass(2000)
+    worker.restart()
+    order(0)
+    await pass(5)
+    agent.workerAnnounced(worker.worker(), undefined)
+    worker.faults.ordersLost = true
+    agent.linkDown(LINK)
+    await pass(agents.STOPPED_AFTER_MS)
+    expect(worker.running()).to.deep.equal([])
+  })
+
+  // The time of day may jump by seconds.
+  it('uses a worker again that restarted after its wall clock was set back', async () => {
+    const { agent, latestReport, pass, worker } = await setUp()
+    const { calls } = worker
+    const former = worker.worker()
+    agent.workerAnnounced({ ...former, bornMs: former.bornMs + 3000 }, undefined)
+    const list = calls.list.bind(calls)
+    let offsetMs = 3000
+    calls.list = async (id, options) => {
+      const reply = await list(id, options)
+      return reply.kind === 'listing'
+        ? { ...reply, listing: { ...reply.listing, bornMs: reply.listing.bornMs + offsetMs } }
+        : reply
+    }
+    await pass(500)
+    expect(latestReport()?.worker, 'before the restart').to.not.equal(undefined)
+    worker.restart()
+    offsetMs = 0
+    for (let beat = 0; beat < 20; beat++) {
+      agent.workerAnnounced(worker.worker(), undefined)
+      await pass(500)
+    }
+    expect(latestReport()?.worker, '10 s after the restart').to.not.equal(undefined)
+  })
 })
