Tell crashes of workers from other lapses in logs, metrics and reports

Operators and entries saw `lapsed` for a run whose worker crashed, whose lease ran out while the agent stood still, or whose worker left. The agent now writes `worker-crashed`, gives the incarnation and how likely each run is to be the cause in `run-end`, counts mustarddeck_worker_crashes_total, and reports the crash with the end of the run; to all entries if the one that ordered the run is not linked. A crash is proven by a new incarnation and suspected when the lease has run out while list calls got no answer. The simulated worker can crash, be away for 3 s and change its capacity.

Nothing acts on the reports yet. Of the three new tests the two that expect reports fail without the change.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -56,10 +56,16 @@
     onRunEnd: (end, ranMs) => {
       measured.count('mustarddeck_runs_ended_total', end)
       measured.time(ranMs, end)
-    }
+    },
+    onWorkerCrash: (reason) => measured.count('mustarddeck_worker_crashes_total', reason)
   })
   const measured = measurements.create({
-    counters: { mustarddeck_runs_ended_total: { help: 'Runs that ended, by end', label: 'end' } },
+    counters: {
+      mustarddeck_runs_ended_total: { help: 'Runs that ended, by end', label: 'end' },
+      mustarddeck_worker_crashes_total: {
+        help: 'Times that the worker crashed, or could not be reached, while it had runs', label: 'reason'
+      }
+    },
     gauges: {
       mustarddeck_links: { help: 'Links to entries that are up', read: () => member.peers.links().size },
       mustarddeck_runs: { help: 'Runs that hold room on the worker', read: () => agent.runCount() }
--- a/packages/fleet/src/message-validation.ts
+++ b/packages/fleet/src/message-validation.ts
@@ -19,6 +19,10 @@
 const isRequestedTask = (value: unknown): boolean =>
   isFields(value) && isText(value['task']) && isNumber(value['run']) && isResources(value['amount'])
 const isUrgency = (value: unknown): boolean => isFields(value) && isNumber(value['priority']) && isNumber(value['withinMs'])
+const isCrash = (value: unknown): boolean =>
+  isFields(value) && isText(value['worker']) && isNumber(value['bornMs']) && isText(value['suspicion'])
+const isCrashedRun = (value: unknown): boolean =>
+  isFields(value) && isCrash(value) && isText(value['task']) && isOptional(value['queue'], isText)
 const isQueue = (value: unknown): boolean =>
   isFields(value) && isText(value['name']) && isText(value['service']) && isNumber(value['priority']) &&
   isNumber(value['maxAttempts']) && isNumber(value['stretch']) && isNumber(value['objectiveMs'])
@@ -38,8 +42,10 @@
   want: ({ urgency }) => isOptional(urgency, isUrgency),
   room: ({ sequence, sharers, worker, free }) =>
     isNumber(sequence) && isNumber(sharers) && isOptional(worker, isWorker) && isResources(free),
-  ended: ({ task, run, end, ranMs, reason }) =>
-    isText(task) && isNumber(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
+  ended: ({ task, run, end, ranMs, reason, crash }) =>
+    isText(task) && isNumber(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText) &&
+    isOptional(crash, isCrash),
+  crashes: ({ crashes }) => isListOf(crashes, isCrashedRun),
   version: ({ version }) => isNumber(version),
   'deployment-wanted': () => true,
   deployment: ({ deployment }) => isDeployment(deployment),
--- a/packages/job-dispatcher/src/contention.test.ts
+++ b/packages/job-dispatcher/src/contention.test.ts
@@ -49,7 +49,7 @@
     const send = (entry: number, message: runs.FromAgent): void => {
       timers.after(linkMs, () => entries[entry]!.receive(index, message))
     }
-    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {} })
+    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {} })
     return { agent, worker }
   })
   const entries = Array.from({ length: ENTRIES }, (_, index) => jobDispatcher.create({
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -36,7 +36,7 @@
       timers.after(LINK_MS, () => { if (!cut.has(link)) entry.receive(link, message) })
     }
     const send = (_link: number, message: runs.FromAgent): void => toEntry(message)
-    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {} })
+    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {} })
     return { agent, link, worker }
   })
   const entry = jobDispatcher.create({
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -329,7 +329,7 @@
         place(agent)
         return demandNotifier.revise(agent, waiting)
       }
-      onEnded(agent, message)
+      if (message.kind === 'ended') onEnded(agent, message)
     },
     drain: (remainingMs) => { drainDeadline = timers.monotonic() + remainingMs },
     leave: () => {
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -9,7 +9,7 @@
 const TASK_AMOUNT = { millicores: 1600, memoryMb: 64, accelerators: 0 }
 const task = (index: number): runs.TaskId => `00000000000000a1.0.0.${index}` as runs.TaskId
 
-const setUp = async ({ runMs = 200 } = {}) => {
+const setUp = async ({ runMs = 200, deadly = [] as number[] } = {}) => {
   const timers = clock.createVirtual({ start: new Date(1_000_000) })
   const site = standIn.createSite()
   const worker = standIn.create({
@@ -17,11 +17,13 @@
     capacity: { millicores: 4800, memoryMb: 1000, accelerators: 0 },
     resourcesOf: () => TASK_AMOUNT,
     runMsOf: () => runMs,
+    isDeadly: (id) => deadly.map(task).includes(id),
     site,
     timers
   })
   const messages: runs.FromAgent[] = []
   const runEnds: runs.RunEnd[] = []
+  const crashes: string[] = []
   const log = logging.create({ level: 'error' })
   const startAgent = () => {
     const agent = agents.create({
@@ -29,7 +31,8 @@
       timers,
       log,
       send: (_link, message) => messages.push(message),
-      onRunEnd: (end) => runEnds.push(end)
+      onRunEnd: (end) => runEnds.push(end),
+      onWorkerCrash: (reason) => crashes.push(reason)
     })
     agent.linkUp(LINK, 'entry-1')
     agent.workerAnnounced(worker.worker(), undefined)
@@ -47,7 +50,7 @@
   })
   const ends = () => messages.flatMap((message) => message.kind === 'ended' ? [[message.task, message.end, message.reason]] : [])
   const latestReport = () => messages.findLast((message) => message.kind === 'room')
-  return { agent, ends, order, pass, latestReport, runEnds, site, startAgent, messages, worker }
+  return { agent, crashes, ends, order, pass, latestReport, runEnds, site, startAgent, messages, worker }
 }
 
 describe('agent of a worker', () => {
@@ -188,6 +191,53 @@
     expect(ends().map(([, end]) => end)).to.deep.equal(['lapsed'])
   })
 
+  it('reports a crash of the worker apart from other lapses, and which runs are likely to have caused it', async () => {
+    const { agent, crashes, messages, order, pass, worker } = await setUp({ runMs: 5000, deadly: [2] })
+    const born = worker.worker().bornMs
+    order(0, 1)
+    await pass(100)
+    worker.faults.crashesBeforeAnswer = true
+    order(2)
+    await pass(900)
+    const crash = { worker: worker.worker().id, bornMs: born }
+    expect(messages.flatMap((message) => message.kind === 'ended' ? [[message.task, message.end, message.crash]] : []))
+      .to.deep.equal([
+        [task(0), 'lapsed', { ...crash, suspicion: 'beside' }],
+        [task(1), 'lapsed', { ...crash, suspicion: 'beside' }],
+        [task(2), 'lapsed', { ...crash, suspicion: 'possible' }]
+      ])
+    expect(crashes).to.deep.equal(['lease expired'])
+    await pass(2500)
+    messages.length = 0
+    agent.workerAnnounced(worker.worker(), undefined)
+    await pass(300)
+    order(2)
+    await pass(900)
+    expect(messages.find(({ kind }) => kind === 'ended')).to.have.nested.property('crash.suspicion', 'alone')
+  })
+
+  it('reports no crash of a worker that leaves, nor after its own process stood still', async () => {
+    const { agent, crashes, ends, order, pass, worker } = await setUp({ runMs: 5000 })
+    order(0)
+    await pass(100)
+    agent.workerAnnounced({ ...worker.worker(), leaving: true }, undefined)
+    worker.faults.unresponsive = true
+    await pass(1500)
+    expect([ends().map(([, end]) => end), crashes]).to.deep.equal([['lapsed'], []])
+  })
+
+  // Its entry was killed in the meantime; the job comes again at another one.
+  it('reports a crash to all entries if the one that ordered the run is not linked', async () => {
+    const { agent, messages, order, pass } = await setUp({ runMs: 5000, deadly: [0] })
+    agent.linkUp(2, 'entry-2')
+    order(0)
+    await pass(40)
+    agent.linkDown(LINK)
+    messages.length = 0
+    await pass(900)
+    expect(messages.find(({ kind }) => kind === 'crashes')).to.have.nested.property('crashes[0].task', task(0))
+  })
+
   it('reports that it is drained once no run is left', async () => {
     const { agent, order, pass, latestReport } = await setUp()
     order(0)
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -4,6 +4,7 @@
 import * as runLedger from './run-ledger.ts'
 import * as leases from './lease.ts'
 import * as capacityUpdates from './capacity-updates.ts'
+import * as crashes from './crashes.ts'
 
 /**
  * Timeout in ms of start and stop calls; the result is then uncertain. A call to the worker on the same machine usually
@@ -19,6 +20,8 @@
 const LIST_PAUSE_MS = 60
 /** Time in ms since the last listing after which the worker counts as unresponsive and gets no new runs. */
 const UNRESPONSIVE_AFTER_MS = 350
+/** List calls without an answer after which a worker whose lease has expired counts as crashed. */
+const CRASHED_AFTER_CALLS = 2
 /** Interval in ms between reviews of the lease and of runs that are uncertain or being stopped. */
 const REVIEW_MS = 50
 /** Interval in ms between reviews while no run is uncertain or being stopped and the worker responds. */
@@ -54,9 +57,11 @@
   send (link: number, message: runs.FromAgent): void
   /** Called once for each run that held capacity; `ranMs` is the time from the order to the end. */
   onRunEnd (end: runs.RunEnd, ranMs: number): void
+  /** Called when the worker crashed or can't be reached any more while it had runs. */
+  onWorkerCrash (reason: string): void
 }
 
-export const create = ({ calls, timers, log, send, onRunEnd }: Options): Agent => {
+export const create = ({ calls, timers, log, send, onRunEnd, onWorkerCrash }: Options): Agent => {
   const ledger = runLedger.create()
   const lease = leases.create(timers)
   const token = leases.createFencingToken(timers)
@@ -67,6 +72,8 @@
   let listedBornMs: number | undefined
   let lastSeen = 0
   let listedAt = -Infinity
+  /** List calls that the worker has not answered since it last did. */
+  let unansweredLists = 0
   let stopped = false
   /** Whether runs could be started at the last review. */
   let wasReady = false
@@ -81,22 +88,31 @@
     send
   })
 
-  /** Sends the message, with the free capacity, to the entry that ordered the run on the entry's current link. */
-  const sendToEntry = (run: runLedger.Run, message: runs.FromAgent): void => {
+  /**
+   * Sends the message, with the free capacity, to the entry that ordered the run on the entry's current link. Returns
+   * false if that entry is not linked.
+   */
+  const sendToEntry = (run: runLedger.Run, message: runs.FromAgent): boolean => {
     for (const [link, entry] of entryByLink) {
       if (entry !== run.entry) continue
       send(link, message)
-      return updates.piggyback(link)
+      updates.piggyback(link)
+      return true
     }
+    return false
   }
-  const finish = (run: runLedger.Run, end: runs.RunEnd, reason?: string): void => {
+  const finish = (run: runLedger.Run, end: runs.RunEnd, reason?: string, crash?: runs.Crash): void => {
     if (ledger.get(run.task) !== run) return
     ledger.remove(run)
     const ranMs = Math.round(timers.monotonic() - run.orderedAt)
     onRunEnd(end, ranMs)
-    log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason })
+    log.info('run-end', { task: run.task, run: run.run, end, ranMs, reason, bornMs: crash?.bornMs, crash: crash?.suspicion })
     updates.runEnded()
-    sendToEntry(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason })
+    const reported = sendToEntry(run, { kind: 'ended', task: run.task, run: run.run, end, ranMs, reason, crash })
+    // The job may come again at any entry.
+    if (crash && !reported) {
+      for (const link of entryByLink.keys()) send(link, { kind: 'crashes', crashes: [{ ...crash, task: run.task }] })
+    }
     if (whenEmpty && ledger.size() === 0) whenEmpty()
   }
   const refuse = (link: number, task: runs.TaskId, reason: string): void => {
@@ -160,11 +176,21 @@
     onStartReply(run, await calls.start(worker.id, order, CALL_TIMEOUT_MS))
   }
 
+  /** Ends all runs; `crashOf` has those that the worker may have taken along in a crash. */
+  const finishAll = (reason: string, crashOf: Map<runLedger.Run, runs.Crash>): void => {
+    if (crashOf.size > 0) {
+      log.warn('worker-crashed', { worker: worker?.id, bornMs: listedBornMs, runs: crashOf.size, reason })
+      onWorkerCrash(reason)
+    }
+    for (const run of [...ledger.all()]) finish(run, 'lapsed', reason, crashOf.get(run))
+  }
+
   /** Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. */
   const onWorkerRestart = (): void => {
+    const crashOf = crashes.attribute(ledger, worker, listedBornMs)
     lastSeen = 0
     listedBornMs = undefined
-    for (const run of [...ledger.all()]) finish(run, 'lapsed', 'worker restarted')
+    finishAll('worker restarted', crashOf)
     lease.reset()
     token.advance()
     updates.changed()
@@ -176,6 +202,7 @@
     const wasNotReady = !isReady()
     listedBornMs = bornMs
     listedAt = timers.monotonic()
+    unansweredLists = 0
     lease.recordClock(clockMs)
     const present = new Map(running.map((run) => [run.task, run.run]))
     for (const endedRun of ended) {
@@ -228,6 +255,7 @@
     if (reply.kind === 'refused' && reply.reason === 'outdated-token' && tokenUsed === token.current()) {
       token.superseded()
     }
+    if (reply.kind === 'silent') unansweredLists++
     log.debug('listing-failed', { reply: reply.kind })
     await new Promise<void>((resolve) => timers.after(LIST_PAUSE_MS, resolve))
   }
@@ -241,9 +269,12 @@
     const now = timers.monotonic()
     const isUnresponsive = now - listedAt > UNRESPONSIVE_AFTER_MS
     let hasUnsettled = false
+    if (isUnresponsive && now > lease.expiredBy()) {
+      const hasCrashed = unansweredLists >= CRASHED_AFTER_CALLS
+      finishAll('lease expired', hasCrashed ? crashes.attribute(ledger, worker, listedBornMs) : new Map())
+    }
     for (const run of [...ledger.all()]) {
-      if (isUnresponsive && now > lease.expiredBy()) finish(run, 'lapsed', 'lease expired')
-      else if (run.state === 'uncertain' || run.state === 'stopping') {
+      if (run.state === 'uncertain' || run.state === 'stopping') {
         hasUnsettled = true
         stopRun(run)
       }
@@ -306,7 +337,10 @@
       updates.changed()
       if (ledger.size() === 0) timers.after(0, done)
     },
-    resumed: () => { listedAt = -Infinity },
+    resumed: () => {
+      listedAt = -Infinity
+      unansweredLists = 0
+    },
     worker: () => worker,
     runCount: () => ledger.size(),
     runCountOf: (entry) => [...ledger.all()].filter((run) => run.entry === entry).length,
--- a/packages/runs/src/interface.ts
+++ b/packages/runs/src/interface.ts
@@ -36,6 +36,27 @@
  */
 export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'unstarted'
 
+/**
+ * How likely a run has crashed its worker.
+ * - `alone`: nothing else ran there.
+ * - `possible`: its start was not confirmed yet, or those of all runs there were.
+ * - `beside`: its start was confirmed, and that of another run was not.
+ */
+export type Suspicion = 'alone' | 'possible' | 'beside'
+
+/** The crash of one incarnation of a worker, as seen from one of its runs. */
+export interface Crash {
+  worker: WorkerId
+  bornMs: number
+  suspicion: Suspicion
+}
+
+export interface CrashedRun extends Crash {
+  task: TaskId
+  /** Queue of the task, if known. */
+  queue?: string
+}
+
 /** Reason for which a worker refused to start a run. */
 export type StartRefusal = 'no-room' | 'late' | 'outdated-run' | 'outdated-token' | 'unwell' | 'other-life' | 'invalid'
 
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -61,6 +61,14 @@
   ranMs: number
   /** Reason for the end, or for which the task was not started. */
   reason?: string
+  /** Present if the run ended because its worker crashed or can't be reached. */
+  crash?: runs.Crash
 }
 
-export type FromAgent = CapacityMessage | EndedMessage
+/** Reports runs that ended with a crash of their worker. */
+export interface CrashesMessage {
+  kind: 'crashes'
+  crashes: runs.CrashedRun[]
+}
+
+export type FromAgent = CapacityMessage | EndedMessage | CrashesMessage
--- a/packages/worker-stand-in/src/worker.ts
+++ b/packages/worker-stand-in/src/worker.ts
@@ -8,6 +8,10 @@
 const STOP_MS = 30
 /** Interval in ms between checks for expired leases. */
 const EXPIRY_CHECK_MS = 10
+/** Time in ms from the start of a deadly task to the crash of the worker. */
+const CRASH_AFTER_MS = 20
+/** Time in ms from a crash to the start of the next incarnation. */
+const DOWN_MS = 3000
 /** Maximum lease in ms that the worker grants. */
 const MAX_LEASE_MS = 1000
 
@@ -17,6 +21,8 @@
   executionDelayMs: number
   /** The worker answers no calls and executes none. */
   unresponsive: boolean
+  /** Deadly tasks crash the worker before it answers the start call. */
+  crashesBeforeAnswer: boolean
   /** Start calls are refused with an error. */
   unhealthy: boolean
   /** Whether tasks started from now on succeed, fail almost immediately, or never end. */
@@ -30,6 +36,8 @@
   resourcesOf (task: runs.TaskId): runs.Resources
   /** Run time of a task in ms. */
   runMsOf (task: runs.TaskId): number
+  /** True for a task that crashes the worker `CRASH_AFTER_MS` after each of its starts; default: none does. */
+  isDeadly? (task: runs.TaskId): boolean
   site: sites.Site
   timers: clock.Timers
 }
@@ -47,17 +55,25 @@
   running (): runs.TaskId[]
   /** Ends all runs and starts a new incarnation under the same id. */
   restart (): void
+  /** Changes the capacity of the running incarnation. */
+  resize (capacity: runs.Resources): void
   /** Stops the worker permanently; the ends of its runs are not reported. */
   stop (): void
 }
 
-export const create = ({ id, capacity, resourcesOf, runMsOf, site, timers }: Settings): StandIn => {
-  const faults: Faults = { executionDelayMs: 0, unresponsive: false, unhealthy: false, tasks: 'succeed' }
+export const create = (settings: Settings): StandIn => {
+  const { id, resourcesOf, runMsOf, isDeadly, site, timers } = settings
+  let { capacity } = settings
+  const faults: Faults = {
+    executionDelayMs: 0, unresponsive: false, crashesBeforeAnswer: false, unhealthy: false, tasks: 'succeed'
+  }
   const running = new Map<runs.TaskId, ActiveRun>()
   const highestRuns = new Map<runs.TaskId, number>()
   let ended: runs.Listing['ended'] = []
   let bornMs = timers.now().getTime() + 1
   let startedAt = timers.monotonic()
+  /** The worker has crashed and is not back. */
+  let isDown = false
   let nextEndNumber = 1
   let token = 0
   let leaseUntilMs = 0
@@ -94,10 +110,37 @@
     running.set(task, activeRun)
     const used = [...running.values()].reduce((sum, active) => runs.add(sum, active.amount), runs.NO_RESOURCES)
     if (!runs.fits(used, capacity)) site.violations.push(`${task} exceeds the capacity of ${id}`)
+    if (isDeadly?.(task)) {
+      if (faults.crashesBeforeAnswer) return crash(activeRun)
+      activeRun.cancel = timers.after(CRASH_AFTER_MS, () => crash(activeRun))
+      return
+    }
     if (faults.tasks === 'hang') return
     const fails = faults.tasks === 'fail'
     activeRun.cancel = timers.after(fails ? 5 : runMsOf(task), () => finish(activeRun, fails ? 'failed' : 'done'))
   }
+  const crash = (culprit: ActiveRun): void => {
+    if (running.get(culprit.task) !== culprit) return
+    site.crashes.set(culprit.task, (site.crashes.get(culprit.task) ?? 0) + 1)
+    isDown = true
+    forgetRuns()
+    timers.after(DOWN_MS, () => {
+      beginIncarnation()
+      isDown = false
+    })
+  }
+  /** Drops all runs, as when the worker's process dies. */
+  const forgetRuns = (): void => { for (const run of [...running.values()]) finish(run, 'lapsed') }
+  const beginIncarnation = (): void => {
+    ended = []
+    highestRuns.clear()
+    nextEndNumber = 1
+    token = 0
+    leaseUntilMs = 0
+    startedAt = timers.monotonic()
+    bornMs = timers.now().getTime() + 1
+    waiters = []
+  }
   const start = (order: runs.Order): runs.StartReply => {
     if (faults.unhealthy) return { kind: 'refused', reason: 'unwell' }
     if (order.token < token) return { kind: 'refused', reason: 'outdated-token' }
@@ -129,10 +172,14 @@
   const deliver = async <Reply extends { kind: string }>(
     timeoutMs: number, run: () => Reply
   ): Promise<Reply | { kind: 'silent' }> => {
-    const { unresponsive, executionDelayMs } = faults
+    const { executionDelayMs } = faults
+    const unresponsive = faults.unresponsive || isDown
     if (!unresponsive && executionDelayMs === 0) {
       await wait(CALL_MS)
-      return run()
+      const reply = run()
+      if (!isDown) return reply
+      await wait(timeoutMs)
+      return { kind: 'silent' }
     }
     if (!unresponsive) timers.after(executionDelayMs, run)
     await wait(timeoutMs)
@@ -154,17 +201,19 @@
       _worker: runs.WorkerId | undefined, options: runs.ListOptions
     ): Promise<runs.ListReply> {
       await wait(CALL_MS)
-      if (faults.unresponsive) {
+      if (faults.unresponsive || isDown) {
         await wait(options.timeoutMs)
         return { kind: 'silent' }
       }
       if (options.token < token) return { kind: 'refused', reason: 'outdated-token' }
+      const askedOf = bornMs
       token = options.token
       ended = ended.filter(({ number }) => number > options.lastSeen)
       extendLease(options.leaseUntilMs)
       if (ended.length === 0 && options.waitMs > 0) {
         await Promise.race([wait(options.waitMs), new Promise<void>((resolve) => waiters.push(resolve))])
       }
+      if (bornMs !== askedOf || isDown) return { kind: 'silent' }
       return { kind: 'listing', listing: snapshot() }
     }
   }
@@ -183,16 +232,10 @@
     }),
     running: () => [...running.keys()],
     restart: () => {
-      for (const run of [...running.values()]) finish(run, 'lapsed')
-      ended = []
-      highestRuns.clear()
-      nextEndNumber = 1
-      token = 0
-      leaseUntilMs = 0
-      startedAt = timers.monotonic()
-      bornMs = timers.now().getTime() + 1
-      waiters = []
+      forgetRuns()
+      beginIncarnation()
     },
+    resize: (changed) => { capacity = changed },
     stop: () => {
       cancelExpiry()
       for (const { cancel } of running.values()) cancel()
