Give up tasks that crash the workers that start them

A job that came again at another entry began anew, since nothing counted crashes.

Entries now count, for each task, the workers that crashed under it, and share first-hand reports with the other entries, the latest ones also with an entry that links. A task whose start was unconfirmed when the worker crashed, or that was alone there, is a suspect, as is one under which two workers crashed for whatever reason. A suspect is ordered with the whole capacity of a worker, so that nothing runs beside it, on one worker per 16 linked agents at a time; a worker that crashed under it counts for 3 s more. After two crashes, one of them alone, the job ends as `failed`, and so does each later submission. A task that ends `done` is cleared. Tasks that ran beside are started again as before.

A job that comes again at another entry before the crash under its latest run is known can cause a third crash; once two are known at an entry it starts nothing of the job.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -77,6 +77,9 @@
       if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
       measured.time(tookMs, queue.name)
     },
+    shareCrashes: (crashes) => {
+      for (const { id } of otherEntries()) links.send(id, { kind: 'crashes', crashes })
+    },
     onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason)
   })
   const receive = (session: sessions.Session, message: messages.Message): void => {
@@ -84,6 +87,9 @@
       case 'room':
         workerUsable.set(session.id, message.worker !== undefined)
         return jobs.receive(session.id, message)
+      case 'crashes':
+        if (session.peer.role === 'entry') return jobs.crashesShared(message.crashes)
+        return jobs.receive(session.id, message)
       case 'ended':
         return jobs.receive(session.id, message)
       case 'status':
@@ -112,6 +118,8 @@
     onPause: () => {},
     up: ({ id, peer }) => {
       links.send(id, currentStatus())
+      const crashes = jobs.crashes()
+      if (peer.role === 'entry' && crashes.length > 0) links.send(id, { kind: 'crashes', crashes })
       if (peer.role === 'agent') jobs.agentUp(id, peer.name, peer.life)
     },
     message: receive,
--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -1,5 +1,6 @@
 import * as runs from '@mustarddeck/runs'
 import type * as fleet from './agents.ts'
+import type * as isolations from './isolation.ts'
 import type * as jobs from './jobs.ts'
 
 /** Terms added to an agent's score, which is otherwise the free share of its worker's capacity. */
@@ -11,6 +12,7 @@
   candidates: Iterable<fleet.Agent>
   /** Keys of the requirements that no candidate met earlier in this pass; candidates only lose capacity in a pass. */
   unplaceable: Set<string>
+  isolation: isolations.Isolation
 }
 
 /** Key of what the task requires of a worker, or undefined if it also depends on where the job's other tasks are. */
@@ -22,11 +24,13 @@
 
 const placedTasks = (agent: fleet.Agent, { job, step }: jobs.TaskState): number => job.placed[step]!.get(agent) ?? 0
 
-const isEligible = (agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, now: number): boolean => {
+const isEligible = (
+  agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, { now, isolation }: SelectionContext
+): boolean => {
   const { worker } = agent
   const { task, job } = state
   if (!worker || worker.leaving || worker.service !== job.job.queue.service) return false
-  if (!runs.fits(task.amount, agent.free)) return false
+  if (!runs.fits(task.amount, agent.free) || !isolation.permits(state, agent)) return false
   if (task.label && !worker.labels.includes(task.label)) return false
   if (placedTasks(agent, state) >= job.job.steps[state.step]!.maxPerWorker) return false
   agent.health.running = agent.tasks.size
@@ -38,14 +42,15 @@
  * already run tasks of the same step, then the largest free share of capacity.
  */
 export const chooseAgent = (
-  agents: fleet.Agents, state: jobs.TaskState, { zone, now, candidates, unplaceable }: SelectionContext
+  agents: fleet.Agents, state: jobs.TaskState, context: SelectionContext
 ): fleet.Agent | undefined => {
-  const requirements = requirementsOf(state)
+  const { zone, candidates, unplaceable, isolation } = context
+  const requirements = isolation.isIsolated(state) ? undefined : requirementsOf(state)
   if (requirements !== undefined && unplaceable.has(requirements)) return undefined
   let best: fleet.Agent | undefined
   let bestScore = -Infinity
   for (const agent of candidates) {
-    if (!isEligible(agents, agent, state, now)) continue
+    if (!isEligible(agents, agent, state, context)) continue
     const worker = agent.worker!
     let score = agent.free.millicores / worker.capacity.millicores
     if (placedTasks(agent, state) > 0) score += SCORE.sameJob
--- a/packages/job-dispatcher/src/contention.test.ts
+++ b/packages/job-dispatcher/src/contention.test.ts
@@ -49,7 +49,9 @@
     const send = (entry: number, message: runs.FromAgent): void => {
       timers.after(linkMs, () => entries[entry]!.receive(index, message))
     }
-    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {} })
+    const agent = runAgent.create({
+      calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {}
+    })
     return { agent, worker }
   })
   const entries = Array.from({ length: ENTRIES }, (_, index) => jobDispatcher.create({
@@ -65,6 +67,7 @@
       const objective = steps[0]!.tasks[0]!.estimateMs * stretch + objectiveMs
       if (kind === 'completed' && tookMs <= objective) outcome.inTime++
     },
+    shareCrashes: () => {},
     onRefusedOrder: () => { outcome.refusedOrders++ }
   }))
   for (const [link, { agent, worker }] of workers.entries()) {
--- a/packages/job-dispatcher/src/dispatcher.test.ts
+++ b/packages/job-dispatcher/src/dispatcher.test.ts
@@ -36,7 +36,9 @@
       timers.after(LINK_MS, () => { if (!cut.has(link)) entry.receive(link, message) })
     }
     const send = (_link: number, message: runs.FromAgent): void => toEntry(message)
-    const agent = runAgent.create({ calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {} })
+    const agent = runAgent.create({
+      calls: worker.calls, timers, log, send, onRunEnd: () => {}, onWorkerCrash: () => {}
+    })
     return { agent, link, worker }
   })
   const entry = jobDispatcher.create({
@@ -48,6 +50,7 @@
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
     },
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
+    shareCrashes: () => {},
     onRefusedOrder: (reason) => observed.push(`order ${reason}`)
   })
   const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -5,9 +5,11 @@
 import * as fleet from './agents.ts'
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
+import * as crashRecords from './crash-records.ts'
 import * as runEstimates from './estimates.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import type * as interfaces from './interface.ts'
+import * as isolations from './isolation.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
 import * as reviewTimer from './review-timer.ts'
@@ -33,6 +35,8 @@
   send (link: number, message: runs.ToAgent): void
   /** Called once for each job that ends. */
   onJobEnd (job: interfaces.Job, outcome: interfaces.Outcome, tookMs: number): void
+  /** Called with the crashes that agents have reported to this entry first; other entries have to know them. */
+  shareCrashes (crashes: runs.CrashedRun[]): void
   /** Called for each order that did not start its task. */
   onRefusedOrder (reason: string): void
 }
@@ -51,6 +55,8 @@
   const waiting = waitingJobs.create()
   const begun = begunJobs.create()
   const discovery = fleetDiscovery.create(timers)
+  const crashes = crashRecords.create(timers)
+  const isolation = isolations.create(timers, crashes, () => [...agents.all()].length)
   let drainDeadline: number | undefined
   let placementScheduled = false
 
@@ -91,6 +97,7 @@
     if (task.agent) agents.removeOrder(task.agent, id)
     if (task.agent?.tasks.delete(id)) jobs.adjustPlaced(task, task.agent, -1)
     outstanding.delete(id)
+    isolation.released(id)
     task.phase = task.job.ended ? 'done' : 'waiting'
     if (!task.job.ended) waiting.add(task.job)
     schedulePlacement()
@@ -115,17 +122,35 @@
     if (message.end === 'done') {
       recordHealth(task, agent, false, message.ranMs)
       estimates.record(queue, task.task, message.ranMs)
+      crashes.clear(message.task)
       if (job.ended) return
       task.phase = 'done'
       if (jobs.complete(job, task)) endJob(job, { kind: 'completed' })
       return
     }
+    if (message.crash) onCrashes([{ ...message.crash, task: message.task, queue }], true)
     if (!job.ended) {
-      log.info('task-again', { task: task.task.id, agent: agent.name, end: message.end, failures: task.failures })
+      log.info('task-again', { task: task.task.id, agent: agent.name, end: message.end, failures: task.failures, crashes: crashes.count(message.task) })
     }
     if (message.end === 'failed') onFailed(task, agent, message.ranMs)
   }
 
+  /** Records crashes, and ends the jobs of tasks that are given up. */
+  const onCrashes = (reported: runs.CrashedRun[], isFirstHand: boolean): void => {
+    const added = reported.filter((crash) => {
+      const wasSuspect = crashes.isSuspect(crash.task)
+      const isNew = crashes.add(crash)
+      if (isNew && wasSuspect && isFirstHand) isolation.crashed()
+      return isNew
+    })
+    if (isFirstHand && added.length > 0) options.shareCrashes(added)
+    for (const job of [...byKey.values()]) endIfGivenUp(job)
+  }
+  const endIfGivenUp = (job: jobs.JobState): void => {
+    const culprit = job.tasks.find(({ task }) => crashes.isGivenUp(task.id))
+    if (culprit) endJob(job, { kind: 'failed', task: culprit.task.id })
+  }
+
   const onFailed = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
     recordHealth(task, agent, true, ranMs)
     task.failures++
@@ -160,7 +185,7 @@
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
     if (candidates.every(({ free }) => free.millicores <= 0)) return
-    const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>() }
+    const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>(), isolation }
     for (const job of [...waiting]) placeJob(job, situation, batch)
     for (const [agent, tasks] of batch) sendOrders(agent, tasks)
   }
@@ -181,10 +206,12 @@
       agent.sequence++
       batch.set(agent, [task])
     }
-    Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, orderedAt: timers.monotonic() })
+    const reserved = isolation.amountFor(task, agent)
+    isolation.ordered(task.task.id)
+    Object.assign(task, { phase: 'ordered', agent, reserved, orders: task.orders + 1, orderedAt: timers.monotonic() })
     agent.tasks.set(task.task.id, task)
     jobs.adjustPlaced(task, agent, 1)
-    agents.order(agent, task.task.id, task.task.amount)
+    agents.order(agent, task.task.id, reserved)
     outstanding.set(task.task.id, task)
   }
   const sendOrders = (agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
@@ -194,7 +221,7 @@
       bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
     }
     for (const [spec, group] of bySpec) {
-      const startOrders = group.map(({ task, orders }) => ({ task: task.id, run: orders, amount: task.amount }))
+      const startOrders = group.map(({ task, orders, reserved }) => ({ task: task.id, run: orders, amount: reserved }))
       send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: startOrders })
       for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
         const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
@@ -267,6 +294,8 @@
     const state = jobs.create(job, now, (task) => estimates.expectedRunMs(job.queue.name, task), answer)
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.callerTimeoutMs })
     byKey.set(job.key, state)
+    endIfGivenUp(state)
+    if (state.ended) return
     if (!canEverRun(job)) return refuse(state, 'never-runnable')
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
     const backlog = { waiting, workOf, millicores: entryShare(job.queue.service) }
@@ -330,7 +359,10 @@
         return demandNotifier.revise(agent, waiting)
       }
       if (message.kind === 'ended') onEnded(agent, message)
+      else onCrashes(message.crashes, true)
     },
+    crashesShared: (shared) => onCrashes(shared, false),
+    crashes: () => crashes.latest(),
     drain: (remainingMs) => { drainDeadline = timers.monotonic() + remainingMs },
     leave: () => {
       drainDeadline = -Infinity
--- a/packages/job-dispatcher/src/interface.ts
+++ b/packages/job-dispatcher/src/interface.ts
@@ -76,6 +76,10 @@
   /** `trustedUntil` is the monotonic ms until which the agent may have acted on this entry's orders. */
   agentDown (link: number, trustedUntil: number): void
   receive (link: number, message: runs.FromAgent): void
+  /** Records crashes that another entry has shared. */
+  crashesShared (crashes: runs.CrashedRun[]): void
+  /** Recent crashes under tasks, for an entry that was not linked when they were shared. */
+  crashes (): runs.CrashedRun[]
   /** From now on refuses new jobs that can't end within `remainingMs` of this call. */
   drain (remainingMs: number): void
   /** Ends and answers every job, and refuses new ones. */
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -1,4 +1,5 @@
 import type * as agents from './agents.ts'
+import type * as runs from '@mustarddeck/runs'
 import type * as interfaces from './interface.ts'
 
 /**
@@ -16,6 +17,8 @@
   phase: Phase
   /** Agent that the task was last sent to. */
   agent: agents.Agent | undefined
+  /** Resources reserved on the worker of the latest order; all of them for a task that may crash it. */
+  reserved: runs.Resources
   /** Number of orders sent so far; also the lowest run number of the latest one. */
   orders: number
   failures: number
@@ -82,6 +85,7 @@
     step: index,
     phase: step.after.length === 0 ? 'waiting' : 'blocked',
     agent: undefined,
+    reserved: task.amount,
     orders: 0,
     failures: 0,
     avoidedAgents: new Set(),
--- a/packages/worker-stand-in/src/worker.ts
+++ b/packages/worker-stand-in/src/worker.ts
@@ -53,6 +53,8 @@
   faults: Faults
   worker (): runs.Worker
   running (): runs.TaskId[]
+  /** True from a crash to the start of the next incarnation. */
+  isDown (): boolean
   /** Ends all runs and starts a new incarnation under the same id. */
   restart (): void
   /** Changes the capacity of the running incarnation. */
@@ -231,6 +233,7 @@
       leaving: false
     }),
     running: () => [...running.keys()],
+    isDown: () => isDown,
     restart: () => {
       forgetRuns()
       beginIncarnation()
