Start nothing on a capacity that the worker has not confirmed

An agent that restarted took the capacity from its row in the store, although the worker may have announced a smaller one while the agent was down or before the row could be written; it took a delayed announcement of an earlier capacity, since the number of the latest one is lost with the process; and after it stood still it started on what it had heard before.

A recalled worker now serves for listing and stopping only; starts wait for its next announcement. An announcement whose clock is over a second behind the listed one does not change the capacity. After standing still for over 2 s the agent waits for the next announcement.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -85,7 +85,7 @@
     // Entries follow the store. If no linked entry reaches it, the agent follows it and shares the configuration.
     followsStore: () => timers.monotonic() - startedAt > FOLLOW_STORE_AFTER_MS &&
       ![...storeReachable.values()].includes(true),
-    onPause: () => agent.resumed(),
+    onPause: (gapMs) => agent.resumed(gapMs),
     up: ({ id, peer }) => agent.linkUp(id, peer.life),
     message: ({ id, peer }, message) => {
       if (message.kind === 'start' || message.kind === 'stop' || message.kind === 'want') agent.receive(id, message)
@@ -106,7 +106,7 @@
     if (result.kind === 'ok') storedRow = value
     else timers.after(WORKER_ROW_RETRY_MS, storeWorker)
   }
-  /** Restores the worker from the row of an earlier incarnation, so that the agent needn't wait for an announcement. */
+  /** Restores the worker from the row of an earlier incarnation, so that the agent can list its runs at once. */
   const restoreWorker = async (): Promise<void> => {
     const result = await follow.hedged(() => store.row('workers', name), timers)
     if (result.kind === 'error') return log.warn('worker-not-recalled', { reason: result.error.kind })
@@ -114,7 +114,7 @@
     const worker = workerRows.parse(result.value.value)
     if (!worker) return log.warn('worker-not-recalled', { reason: 'unreadable row' })
     storedRow = result.value.value
-    agent.workerAnnounced(worker, undefined)
+    agent.workerRecalled(worker)
   }
   restoreWorker()
 
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -35,7 +35,7 @@
   /** False while peers follow the store on behalf of this process. */
   followsStore (): boolean
   /** Called after the process was paused or suspended, before its links are closed. */
-  onPause (): void
+  onPause (gapMs: number): void
   up (session: sessions.Session): void
   /** Handles messages that aren't common to entries and agents. */
   message (session: sessions.Session, message: messages.Message): void
@@ -51,7 +51,7 @@
   const generator = random.create(seedOf(hello.life))
   const pauses = sessions.watch(timers, PAUSE_LIMIT_MS, (gapMs) => {
     log.warn('pause', { gapMs })
-    options.onPause()
+    options.onPause(gapMs)
     links.closeAll('process stood still')
   })
   const receive = (session: sessions.Session, message: unknown): void => {
--- a/packages/run-agent/src/agent.test.ts
+++ b/packages/run-agent/src/agent.test.ts
@@ -25,7 +25,8 @@
   const runEnds: runs.RunEnd[] = []
   const crashes: string[] = []
   const log = logging.create({ level: 'error' })
-  const startAgent = () => {
+  /** The agent of a recalled worker has seen no announcement yet. */
+  const startAgent = ({ recalled = undefined as runs.Worker | undefined } = {}) => {
     const agent = agents.create({
       calls: worker.calls,
       timers,
@@ -35,7 +36,8 @@
       onWorkerCrash: (reason) => crashes.push(reason)
     })
     agent.linkUp(LINK, 'entry-1')
-    agent.workerAnnounced(worker.worker(), undefined)
+    if (recalled) agent.workerRecalled(recalled)
+    else agent.workerAnnounced(worker.worker(), undefined)
     return agent
   }
   const agent = startAgent()
@@ -191,6 +193,82 @@
     expect(ends().map(([, end]) => end)).to.deep.equal(['lapsed'])
   })
 
+  describe('whose capacity shrinks', () => {
+    const shrunk = { millicores: TASK_AMOUNT.millicores, memoryMb: 1000, accelerators: 0 }
+
+    it('starts no more than fits from its announcement on, counting what is being stopped', async () => {
+      const { agent, ends, order, pass, site, worker } = await setUp({ runMs: 5000 })
+      order(0, 1)
+      await pass(50)
+      worker.resize(shrunk)
+      agent.workerAnnounced(worker.worker(), undefined)
+      agent.receive(LINK, { kind: 'stop', tasks: [task(0), task(1)] })
+      order(2)
+      await pass(10)
+      expect(ends()).to.deep.equal([[task(2), 'unstarted', 'no-room']])
+      await pass(300)
+      order(3, 4)
+      await pass(50)
+      expect(worker.running()).to.deep.equal([task(3)])
+      expect(site.violations).to.deep.equal([])
+    })
+
+    // The agent was down when the worker announced it, or could not write it to the store.
+    it('starts nothing on a capacity from an earlier incarnation of the agent', async () => {
+      const { agent, messages, pass, startAgent, site, worker } = await setUp({ runMs: 5000 })
+      const recalled = worker.worker()
+      agent.stop()
+      worker.resize(shrunk)
+      const successor = startAgent({ recalled })
+      await pass(300)
+      messages.length = 0
+      const start = (...indexes: number[]): void => successor.receive(LINK, {
+        kind: 'start',
+        sequence: 1,
+        spec: 'weigh',
+        tasks: indexes.map((index) => ({ task: task(index), run: 1, amount: TASK_AMOUNT }))
+      })
+      start(0, 1)
+      await pass(50)
+      successor.workerAnnounced(worker.worker(), undefined)
+      start(2, 3)
+      await pass(50)
+      expect(site.violations).to.deep.equal([])
+      expect(worker.running()).to.deep.equal([task(2)])
+    })
+
+    it('does not take an earlier capacity from a delayed announcement', async () => {
+      const { agent, pass, startAgent, site, worker } = await setUp({ runMs: 5000 })
+      const [earlier, earlierClockMs] = [worker.worker(), 50]
+      agent.stop()
+      await pass(2000)
+      worker.resize(shrunk)
+      const successor = startAgent()
+      await pass(100)
+      successor.workerAnnounced(earlier, earlierClockMs)
+      const tasks = [0, 1].map((index) => ({ task: task(index), run: 1, amount: TASK_AMOUNT }))
+      successor.receive(LINK, { kind: 'start', sequence: 1, spec: 'weigh', tasks })
+      await pass(50)
+      expect(site.violations).to.deep.equal([])
+      expect(worker.running()).to.deep.equal([task(0)])
+    })
+
+    it('starts nothing after it stood still until the worker announces itself again', async () => {
+      const { agent, ends, order, pass, site, worker } = await setUp({ runMs: 5000 })
+      worker.resize(shrunk)
+      agent.resumed(5000)
+      await pass(300)
+      order(0, 1)
+      await pass(50)
+      expect(ends().map(([, end]) => end)).to.deep.equal(['unstarted', 'unstarted'])
+      agent.workerAnnounced(worker.worker(), undefined)
+      order(2)
+      await pass(50)
+      expect(worker.running()).to.deep.equal([task(2)])
+      expect(site.violations).to.deep.equal([])
+    })
+  })
+
   it('reports a crash of the worker apart from other lapses, and which runs are likely to have caused it', async () => {
     const { agent, crashes, messages, order, pass, worker } = await setUp({ runMs: 5000, deadly: [2] })
     const born = worker.worker().bornMs
--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -22,6 +22,10 @@
 const UNRESPONSIVE_AFTER_MS = 350
 /** List calls without an answer after which a worker whose lease has expired counts as crashed. */
 const CRASHED_AFTER_CALLS = 2
+/** Age in ms from which an announcement counts as delayed; the worker's capacity may have shrunk since. */
+const DELAYED_AFTER_MS = 1000
+/** Time in ms for which the process may stand still and still trust the capacity that the worker last announced. */
+const CAPACITY_TRUST_MS = 2000
 /** Interval in ms between reviews of the lease and of runs that are uncertain or being stopped. */
 const REVIEW_MS = 50
 /** Interval in ms between reviews while no run is uncertain or being stopped and the worker responds. */
@@ -31,6 +35,8 @@
 export interface Agent {
   /** Handles an announcement of the worker; `clockMs` is its steady clock in ms. */
   workerAnnounced (worker: runs.Worker, clockMs: number | undefined): void
+  /** Takes the worker from a record of an earlier incarnation; its capacity counts only once it announces itself. */
+  workerRecalled (worker: runs.Worker): void
   /** Called when the worker with this id is gone. */
   workerGone (worker: runs.WorkerId): void
   /** Accepts orders from the entry on this link; `entry` identifies the incarnation of its process. */
@@ -40,8 +46,8 @@
   receive (link: number, message: runs.ToAgent): void
   /** Starts no more runs; `whenEmpty` is called when no run is left. */
   drain (whenEmpty: () => void): void
-  /** Called after the process was suspended: answers to calls pending at that time are not reliable. */
-  resumed (): void
+  /** Called after the process stood still for this time: answers to calls pending at that time are not reliable. */
+  resumed (gapMs: number): void
   worker (): runs.Worker | undefined
   /** Number of runs that hold capacity on the worker. */
   runCount (): number
@@ -291,17 +297,27 @@
     workerAnnounced: (announced, clockMs) => {
       if (worker && announced.bornMs < worker.bornMs) return log.warn('announcement-outdated', { worker: announced.id })
       const changed = worker?.id !== announced.id || worker.bornMs !== announced.bornMs
-      // A worker that leaves does not come back in this incarnation; the announcement was delayed.
-      const next = { ...announced, leaving: announced.leaving || (!changed && worker!.leaving) }
+      const isDelayed = clockMs !== undefined && listedBornMs === announced.bornMs &&
+        lease.workerClock() - clockMs > DELAYED_AFTER_MS
+      const next = {
+        ...announced,
+        capacity: isDelayed && worker ? worker.capacity : announced.capacity,
+        // A worker that leaves does not come back in this incarnation; the announcement was delayed.
+        leaving: announced.leaving || (!changed && worker!.leaving)
+      }
       if (changed) log.info('worker', { worker: next.id, bornMs: next.bornMs, millicores: next.capacity.millicores })
       if (!changed && worker && worker.leaving !== next.leaving) log.info('worker-leaving', { leaving: next.leaving })
       if (changed && listedBornMs !== undefined && listedBornMs !== next.bornMs) onWorkerRestart()
       worker = next
-      ledger.resize(next.capacity)
+      if (!isDelayed) ledger.resize(next.capacity)
       if (clockMs !== undefined && lease.nextExpiry() === undefined &&
         listedBornMs === next.bornMs) lease.recordClock(clockMs)
       updates.changed()
     },
+    workerRecalled: (recalled) => {
+      worker = recalled
+      updates.changed()
+    },
     workerGone: (id) => {
       if (worker?.id !== id) return
       log.info('worker-gone', { worker: id })
@@ -337,9 +353,10 @@
       updates.changed()
       if (ledger.size() === 0) timers.after(0, done)
     },
-    resumed: () => {
+    resumed: (gapMs) => {
       listedAt = -Infinity
       unansweredLists = 0
+      if (gapMs > CAPACITY_TRUST_MS) ledger.resize(runs.NO_RESOURCES)
     },
     worker: () => worker,
     runCount: () => ledger.size(),
--- a/packages/run-agent/src/lease.ts
+++ b/packages/run-agent/src/lease.ts
@@ -18,6 +18,8 @@
   recordRequest (untilMs: number): void
   /** Records a reading in ms of the worker's clock. */
   recordClock (clockMs: number): void
+  /** Present reading in ms of the worker's clock; -Infinity while it is unknown. */
+  workerClock (): number
   /** Monotonic ms by which every requested lease has certainly expired and its runs have ended. */
   expiredBy (): number
   /** Forgets clock and leases; called when the worker has a new incarnation with another clock. */
@@ -28,8 +30,11 @@
   let reading: { clockMs: number, at: number } | undefined
   let requestedUntil = -Infinity
 
+  const workerClock = (): number => reading ? reading.clockMs + (timers.monotonic() - reading.at) : -Infinity
+
   return {
-    nextExpiry: () => reading && Math.floor(reading.clockMs + (timers.monotonic() - reading.at) + LEASE_MS),
+    nextExpiry: () => reading && Math.floor(workerClock() + LEASE_MS),
+    workerClock,
     recordRequest: (untilMs) => { requestedUntil = Math.max(requestedUntil, untilMs) },
     recordClock: (clockMs) => { reading = { clockMs, at: timers.monotonic() } },
     expiredBy: () => reading === undefined || requestedUntil === -Infinity
