Confine queues whose tasks crash workers to a part of the workers

With a tenth of one queue's jobs crashing their workers for 10 s, nearly all workers were down at any time: the first crash of each such task can't be avoided, and a worker is away for 3 s. The other queues, two thirds of what was owed, got next to nothing.

After two crashes within 10 s under tasks of a queue that ran alone, the queue may use a quarter of the workers only. Entries rank the workers alike for a queue, so they confine it to the same ones, and share the crashes that this counts. It ends when fewer than two of these crashes are within the last 10 s.

--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -1,5 +1,6 @@
 import * as runs from '@mustarddeck/runs'
 import type * as fleet from './agents.ts'
+import type * as confinements from './confinement.ts'
 import type * as isolations from './isolation.ts'
 import type * as jobs from './jobs.ts'
 
@@ -13,24 +14,26 @@
   /** Keys of the requirements that no candidate met earlier in this pass; candidates only lose capacity in a pass. */
   unplaceable: Set<string>
   isolation: isolations.Isolation
+  confinement: confinements.Confinement
 }
 
 /** Key of what the task requires of a worker, or undefined if it also depends on where the job's other tasks are. */
 const requirementsOf = ({ job, task, step }: jobs.TaskState): string | undefined => {
   if (job.job.steps[step]!.maxPerWorker !== Infinity) return undefined
   const { millicores, memoryMb, accelerators } = task.amount
-  return `${job.job.queue.service} ${millicores} ${memoryMb} ${accelerators} ${task.label ?? ''}`
+  return `${job.job.queue.name} ${millicores} ${memoryMb} ${accelerators} ${task.label ?? ''}`
 }
 
 const placedTasks = (agent: fleet.Agent, { job, step }: jobs.TaskState): number => job.placed[step]!.get(agent) ?? 0
 
 const isEligible = (
-  agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, { now, isolation }: SelectionContext
+  agents: fleet.Agents, agent: fleet.Agent, state: jobs.TaskState, { now, isolation, confinement }: SelectionContext
 ): boolean => {
   const { worker } = agent
   const { task, job } = state
   if (!worker || worker.leaving || worker.service !== job.job.queue.service) return false
   if (!runs.fits(task.amount, agent.free) || !isolation.permits(state, agent)) return false
+  if (!confinement.permits(job.job.queue.name, agent)) return false
   if (task.label && !worker.labels.includes(task.label)) return false
   if (placedTasks(agent, state) >= job.job.steps[state.step]!.maxPerWorker) return false
   agent.health.running = agent.tasks.size
--- a/packages/job-dispatcher/src/crashing-tasks.test.ts
+++ b/packages/job-dispatcher/src/crashing-tasks.test.ts
@@ -77,13 +77,13 @@
   }
   let nextKey = 1
   /** Submits a job; the outcome is final once it is `completed` or `failed`. */
-  const submit = ({ tasks = 1, isDeadly = (_index: number): boolean => false, entry = 0 } = {}) => {
+  const submit = ({ queue = QUEUE, tasks = 1, isDeadly = (_index: number): boolean => false, entry = 0 } = {}) => {
     const key = (nextKey++).toString(16).padStart(16, '0') as runs.JobKey
     const ids = Array.from({ length: tasks }, (_, index) => `${key}.0.0.${index}` as runs.TaskId)
     ids.forEach((id, index) => { if (isDeadly(index)) deadly.add(id) })
     const job: jobDispatcher.Job = {
       key,
-      queue: QUEUE,
+      queue,
       spec: 'pay',
       callerTimeoutMs: CALLER_TIMEOUT_MS,
       steps: [{
@@ -169,6 +169,22 @@
     expect(site.violations).to.deep.equal([])
   })
 
+  it('leave most workers to other queues while many of them arrive', async () => {
+    const { fleet, pass, submit } = await setUp({ workers: 12, entries: 1 })
+    const other = { ...QUEUE, name: 'other' as jobDispatcher.QueueName, objectiveMs: 200, stretch: 2 }
+    const innocent: Array<ReturnType<typeof submit>> = []
+    for (let ms = 0; ms < 16_000; ms += 400) {
+      submit({ isDeadly: () => true })
+      const job = submit({ queue: other, tasks: 2 })
+      if (ms >= 8000) innocent.push(job)
+      await pass(400)
+    }
+    await pass(1500)
+    const inTime = innocent.filter(({ outcome, attempts }) => outcome === 'completed' && attempts === 1)
+    expect(inTime.length / innocent.length).to.be.at.least(0.9)
+    expect(fleet.filter(({ worker }) => worker.isDown()).length).to.be.at.most(3)
+  })
+
   it('crash few workers at a time after the first crash of each', async () => {
     const { crashesOf, fleet, pass, submit } = await setUp({ workers: 8, entries: 1 })
     const deadly = submit({ tasks: 8, isDeadly: () => true })
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -5,6 +5,7 @@
 import * as fleet from './agents.ts'
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
+import * as confinements from './confinement.ts'
 import * as crashRecords from './crash-records.ts'
 import * as runEstimates from './estimates.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
@@ -56,6 +57,7 @@
   const begun = begunJobs.create()
   const discovery = fleetDiscovery.create(timers)
   const crashes = crashRecords.create(timers)
+  const confinement = confinements.create(timers, () => agents.all())
   const isolation = isolations.create(timers, crashes, () => [...agents.all()].length)
   let drainDeadline: number | undefined
   let placementScheduled = false
@@ -141,6 +143,7 @@
       const wasSuspect = crashes.isSuspect(crash.task)
       const isNew = crashes.add(crash)
       if (isNew && wasSuspect && isFirstHand) isolation.crashed()
+      if (isNew && crash.suspicion === 'alone' && crash.queue !== undefined) confinement.crashed(crash.queue)
       return isNew
     })
     if (isFirstHand && added.length > 0) options.shareCrashes(added)
@@ -185,7 +188,8 @@
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
     if (candidates.every(({ free }) => free.millicores <= 0)) return
-    const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>(), isolation }
+    const now = timers.monotonic()
+    const situation = { zone, now, candidates, unplaceable: new Set<string>(), isolation, confinement }
     for (const job of [...waiting]) placeJob(job, situation, batch)
     for (const [agent, tasks] of batch) sendOrders(agent, tasks)
   }
