Suspect only runs that the worker has not listed since they started

Callers of tasks that ran beside a task that crashes its worker waited for a worker on which nothing else ran: with a start that was confirmed just before the crash, all of ten and more runs counted as suspects. A run counts as a suspect now if the worker has not answered a list call since its start was confirmed.

--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -193,7 +193,7 @@
 
   /** Handles a new worker incarnation: no earlier run is left, and late orders must have no effect. */
   const onWorkerRestart = (): void => {
-    const crashOf = crashes.attribute(ledger, worker, listedBornMs)
+    const crashOf = crashes.attribute(ledger, { worker, bornMs: listedBornMs, listedAt })
     lastSeen = 0
     listedBornMs = undefined
     finishAll('worker restarted', crashOf)
@@ -277,7 +277,7 @@
     let hasUnsettled = false
     if (isUnresponsive && now > lease.expiredBy()) {
       const hasCrashed = unansweredLists >= CRASHED_AFTER_CALLS
-      finishAll('lease expired', hasCrashed ? crashes.attribute(ledger, worker, listedBornMs) : new Map())
+      finishAll('lease expired', hasCrashed ? crashes.attribute(ledger, { worker, bornMs: listedBornMs, listedAt }) : new Map())
     }
     for (const run of [...ledger.all()]) {
       if (run.state === 'uncertain' || run.state === 'stopping') {
--- a/packages/runs/src/interface.ts
+++ b/packages/runs/src/interface.ts
@@ -39,8 +39,8 @@
 /**
  * How likely a run has crashed its worker.
  * - `alone`: nothing else ran there.
- * - `possible`: its start was not confirmed yet, or those of all runs there were.
- * - `beside`: its start was confirmed, and that of another run was not.
+ * - `possible`: the worker has not listed its runs since it started this one, or has since it started the last one.
+ * - `beside`: the worker has listed its runs since then, but not since it started another one.
  */
 export type Suspicion = 'alone' | 'possible' | 'beside'
 
