--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -3,6 +3,7 @@
 import os from 'node:os'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
+import * as forwarders from './forwarder.mjs'
 import * as http from './http.mjs'
 import * as stores from './store.mjs'
 import * as workers from './worker.mjs'
@@ -111,14 +112,14 @@
 }
 
 /** A small deployment on loopback addresses: entries, agents with a worker each, the store, and a client. */
-export const start = async ({ folder, entryCount, agentCount, runMsOf, capacity, routes }) => {
+export const start = async ({ folder, entryCount, agentCount, runMsOf, isForwarded = false }) => {
   const record = createRecord(path.join(folder, 'record.txt'))
   const temporary = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
   const subnet = `127.${1 + Math.floor(Math.random() * 250)}.${1 + Math.floor(Math.random() * 250)}`
   const edgeIps = Array.from({ length: entryCount }, (_, index) => `${subnet}.${11 + index}`)
   const sideIps = Array.from({ length: agentCount }, (_, index) => `${subnet}.${101 + index}`)
   const platformIp = `${subnet}.2`
-  const names = ['front', 'ready', 'control', 'internal', 'metrics', 'app', 'store']
+  const names = ['front', 'ready', 'control', 'internal', 'metrics', 'app', 'store', 'entrance']
   const free = await http.freePorts([...edgeIps, ...sideIps, platformIp], names.length)
   const ports = Object.fromEntries(names.map((name, index) => [name, free[index]]))
   const store = await stores.start(platformIp, ports.store)
@@ -147,7 +148,7 @@
   const publish = (version) => {
     store.publish({
       version,
-      routes: routes ?? [{
+      routes: [{
         name: 'r-3hwrr6x',
         host: HOST_NAME,
         path_prefix: PREFIX,
@@ -174,12 +175,17 @@
     control: ports.control,
     service: SERVICE,
     zone: zoneOf(index),
-    capacity: capacity ?? { cpu: 16000, mem_mb: 32768, gpu: 0 },
+    capacity: { cpu: 16000, mem_mb: 32768, gpu: 0 },
     labels: ['a', `r1-${index + 1}`],
     runMsOf,
     record
   })))
   for (const worker of workerList) stops.push(() => worker.stop())
+  /** The platform's forwarder to each entry, at an address of the platform; none if clients connect directly. */
+  const forwarderIps = isForwarded ? edgeIps.map((ip) => ip.replace(`${subnet}.`, `${subnet}.2`)) : []
+  const forwarderList = await Promise.all(forwarderIps.map((ip, index) =>
+    forwarders.start(ip, ports.entrance, { host: edgeIps[index], port: ports.front })))
+  for (const forwarder of forwarderList) stops.push(() => forwarder.stop())
 
   const isReady = async (entry) => {
     const answer = await http.call({ host: entry.ip, port: ports.ready, method: 'GET', path: '/ready', timeoutMs: 500 })
@@ -188,8 +194,8 @@
   const request = async (entry, method, id, { body, deadlineMs = DEADLINE_MS, prefix = PREFIX } = {}) => {
     record.line(`client: ${method} ${id} at ${entry.name}`)
     const answer = await http.call({
-      host: entry.ip,
-      port: ports.front,
+      host: forwarderIps[entries.indexOf(entry)] ?? entry.ip,
+      port: isForwarded ? ports.entrance : ports.front,
       method,
       path: prefix + id,
       headers: { Host: HOST_NAME, 'Mustarddeck-Deadline-Ms': String(deadlineMs) },
@@ -205,6 +211,7 @@
     entries,
     agents,
     workers: workerList,
+    forwarders: forwarderList,
     ports,
     publish,
     isReady,
