--- a/review/stand-ins/forwarder.mjs
+++ b/review/stand-ins/forwarder.mjs
@@ -1,7 +1,7 @@
 import net from 'node:net'
 
 /**
- * Forwards each new connection to the `front` address of an edge node, as "Ingress" in PROTOCOL.md says of the platform.
+ * Forwards each new connection to the `front` address of an edge node, as "Ingress" in PROTOCOL.md says.
  * While `hold` is in force no byte passes in either direction, as on a link that loses all packets: what was sent is
  * delivered in order when it ends, since neither side has reset the connection.
  */
