--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -6,6 +6,11 @@
 const JOBS = 12
 const STEP = { count: 4, cpu: 1600, mem_mb: 64, estimate_ms: TASK_MS }
 
+/** What is odd in the heartbeat: a service that isn't named; with VARIANT=missing, three fields are missing. */
+const FOREIGN = process.env.VARIANT === 'missing'
+  ? { address: undefined, version: undefined, slots: undefined }
+  : { service: 'not-named-here' }
+
 const play = async (deployment, trouble) => {
   const { record, entries, agents, workers, ports, request } = deployment
   const answers = []
@@ -19,7 +24,7 @@
     const agent = agents[workers.indexOf(busiest)]
     record.line(`${busiest.id} runs ${busiest.running().join(' ')}`)
     if (!trouble) continue
-    const body = { ...busiest.heartbeat(), service: 'not-named-here', born: Date.now(), sequence: 1 }
+    const body = { ...busiest.heartbeat(), ...FOREIGN, born: Date.now(), sequence: 1 }
     const path = '/instances/i-0000beef'
     const reply = await http.call({ host: agent.ip, port: ports.control, method: 'PUT', path, body, timeoutMs: 1000 })
     record.line(`another writer: PUT ${path} at ${agent.name}: ${reply.status} ${JSON.stringify(body)}`)
