--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -71,6 +71,15 @@
   ''
 ].join('\n')
 
+/** Processes and folders that must not outlive the script, however it ends. */
+const children = new Set()
+const folders = new Set()
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL')
+  for (const folder of folders) fs.rmSync(folder, { recursive: true, force: true })
+})
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(2))
+
 /** One process of the project, started with the command and the environment of its role in the deploy file. */
 const startProcess = ({ role, file, metricsPort, logFile }) => {
   let child
@@ -90,16 +99,18 @@
       }
     })
     fs.closeSync(log)
-    ended = new Promise((resolve) => child.once('exit', resolve))
+    const spawned = child
+    children.add(spawned)
+    ended = new Promise((resolve) => spawned.once('exit', resolve)).then(() => children.delete(spawned))
   }
   spawnChild()
   return {
     signal: (signal) => child.kill(signal),
     /** Kills the process and starts it again. */
-    restart: async (signal) => {
+    restart: async (signal, downMs = RESTART_MS) => {
       child.kill(signal)
       await ended
-      await wait(RESTART_MS)
+      await wait(downMs)
       if (!stopped) spawnChild()
     },
     hasEnded: () => child.exitCode !== null || child.signalCode !== null,
@@ -112,9 +123,11 @@
 }
 
 /** A small deployment on loopback addresses: entries, agents with a worker each, the store, and a client. */
-export const start = async ({ folder, entryCount, agentCount, runMsOf, isForwarded = false }) => {
+export const start = async (options) => {
+  const { folder, entryCount, agentCount, runMsOf, isForwarded = false, timeoutMs = DEADLINE_MS } = options
   const record = createRecord(path.join(folder, 'record.txt'))
   const temporary = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
+  folders.add(temporary)
   const subnet = `127.${1 + Math.floor(Math.random() * 250)}.${1 + Math.floor(Math.random() * 250)}`
   const edgeIps = Array.from({ length: entryCount }, (_, index) => `${subnet}.${11 + index}`)
   const sideIps = Array.from({ length: agentCount }, (_, index) => `${subnet}.${101 + index}`)
@@ -153,7 +166,7 @@
         host: HOST_NAME,
         path_prefix: PREFIX,
         kind: 'unsafe',
-        timeout_ms: DEADLINE_MS,
+        timeout_ms: timeoutMs,
         objective_ms: 60,
         priority: 0,
         service: SERVICE,
@@ -191,7 +204,7 @@
     const answer = await http.call({ host: entry.ip, port: ports.ready, method: 'GET', path: '/ready', timeoutMs: 500 })
     return answer.status === 200
   }
-  const request = async (entry, method, id, { body, deadlineMs = DEADLINE_MS, prefix = PREFIX } = {}) => {
+  const request = async (entry, method, id, { body, deadlineMs = timeoutMs, prefix = PREFIX } = {}) => {
     record.line(`client: ${method} ${id} at ${entry.name}`)
     const answer = await http.call({
       host: forwarderIps[entries.indexOf(entry)] ?? entry.ip,
@@ -229,7 +242,6 @@
     },
     stop: async () => {
       for (const stop of stops.reverse()) await stop()
-      fs.rmSync(temporary, { recursive: true, force: true })
     }
   }
 }
--- a/review/stand-ins/forwarder.mjs
+++ b/review/stand-ins/forwarder.mjs
@@ -7,6 +7,8 @@
  */
 export const start = (host, port, target) => new Promise((resolve, reject) => {
   const sockets = new Set()
+  const clients = new Set()
+  const broken = new Set()
   let held
   const deliver = (action) => {
     if (held) held.push(action)
@@ -16,12 +18,15 @@
     sockets.add(from)
     from.on('data', (data) => deliver(() => to.write(data)))
     from.on('end', () => deliver(() => to.end()))
-    from.on('error', () => deliver(() => to.destroy()))
+    // A socket of a broken connection tells the other end nothing, and stays open to it.
+    from.on('error', () => { if (!broken.has(from)) deliver(() => to.destroy()) })
     from.on('close', () => sockets.delete(from))
   }
   const server = net.createServer({ allowHalfOpen: true }, (client) => {
     const node = net.connect({ ...target, allowHalfOpen: true, noDelay: true })
     client.setNoDelay(true)
+    clients.add(client)
+    client.on('close', () => clients.delete(client))
     join(client, node)
     join(node, client)
   })
@@ -35,6 +40,14 @@
         for (const action of actions) action()
       }, ms)
     },
+    /** Resets the open connections; the nodes learn of it only if `informed`, else the packet to them is lost. */
+    reset: (informed) => {
+      for (const client of [...clients]) {
+        if (!informed) broken.add(client)
+        client.resetAndDestroy()
+        if (informed) client.emit('error', new Error('reset'))
+      }
+    },
     stop: () => {
       server.close()
       for (const socket of sockets) socket.destroy()
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -14,8 +14,8 @@
 export const start = async ({ id, host, app, control, service, zone, capacity, labels, runMsOf, record }) => {
   const running = new Map()
   const highestRuns = new Map()
-  const born = Date.now()
-  const startedAt = performance.now()
+  let born = Date.now()
+  let startedAt = performance.now()
   let ended = []
   let lastNumber = 0
   let fence = 0
@@ -78,14 +78,15 @@
     const rows = [...running.values()].map(({ task, run }) => [task, run, '', 100, 0])
     return [200, { clock_ms: clockMs(), born, running: rows, ended: ended.slice(0, PAGE_ENDS) }]
   }
-  const server = await http.serve(host, app, ({ method, url, headers, body }) => {
+  const respond = ({ method, url, headers, body }) => {
     const target = headers['mustarddeck-target-instance']
     if (target !== undefined && target !== id) return [421, {}]
     if (method === 'GET' && url.pathname === '/health') return [200, {}]
     if (url.pathname === '/run-start') return startRun(body)
     if (url.pathname === '/run-stop') return stopRun(body)
     return url.pathname === '/hold' ? hold(body) : [404, {}]
-  })
+  }
+  let server = await http.serve(host, app, respond)
   const heartbeat = () => ({
     service,
     address: `${host}:${app}`,
@@ -104,11 +105,31 @@
     host, port: control, method: 'PUT', path: `/instances/${id}`, body: heartbeat(), timeoutMs: 1000
   })
   announce()
-  const beats = setInterval(announce, HEARTBEAT_MS)
+  let beats = setInterval(announce, HEARTBEAT_MS)
   return {
     id,
     heartbeat,
     running: () => [...running.keys()],
+    /** Crashes and starts again under the same id: it knows nothing of before, and its counts start anew. */
+    restart: async (downMs, silentMs = 0) => {
+      clearInterval(beats)
+      server.stop()
+      record.line(`${id} crashes`)
+      for (const run of [...running.values()]) finish(run, 'crashed')
+      await new Promise((resolve) => setTimeout(resolve, downMs))
+      highestRuns.clear()
+      ended = []
+      lastNumber = 0
+      fence = 0
+      leaseUntil = 0
+      sequence = 0
+      born = Date.now()
+      startedAt = performance.now()
+      server = await http.serve(host, app, respond)
+      record.line(`${id} is back`)
+      setTimeout(announce, silentMs)
+      beats = setInterval(announce, HEARTBEAT_MS)
+    },
     stop: () => {
       clearInterval(expiry)
       clearInterval(beats)
