--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -1,11 +1,12 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as log from '@mustarddeck/log'
-import * as runs from '@mustarddeck/runs'
+import type * as runs from '@mustarddeck/runs'
 import * as admission from './admission.ts'
 import * as fleet from './agents.ts'
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
 import * as runEstimates from './estimates.ts'
+import * as fleetCapacity from './fleet-capacity.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import * as heldJobs from './held-jobs.ts'
 import type * as interfaces from './interface.ts'
@@ -255,20 +256,6 @@
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
     jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
-  /** Capacity in millicores of the service's workers that this entry gets when all entries are under load. */
-  const entryShare = (service: string): number => {
-    let total = 0
-    for (const { worker, entryCount } of agents.all()) {
-      if (worker?.service === service) total += worker.capacity.millicores / entryCount
-    }
-    return total
-  }
-  const canEverRun = (job: interfaces.Job): boolean => {
-    const workers = [...agents.all()].flatMap(({ worker }) => worker?.service === job.queue.service ? [worker] : [])
-    if (workers.length === 0) return true
-    return job.steps.every(({ tasks }) => tasks.every((task) => workers.some((worker) =>
-      runs.fits(task.amount, worker.capacity) && (!task.label || worker.labels.includes(task.label)))))
-  }
   const join = (key: runs.JobKey, answer: interfaces.Answer, callerTimeoutMs: number): boolean => {
     const job = byKey.get(key)
     if (!job) return false
@@ -283,9 +270,9 @@
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.callerTimeoutMs })
     byKey.set(job.key, state)
     held.add(state)
-    if (!canEverRun(job)) return refuse(state, 'never-runnable')
+    if (!fleetCapacity.canEverRun(agents, job)) return refuse(state, 'never-runnable')
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
-    const backlog = { waiting, workOf, millicores: entryShare(job.queue.service) }
+    const backlog = { waiting, workOf, millicores: fleetCapacity.entryShare(agents, job.queue.service) }
     const refused = discovery.isIncomplete() ? [] : admission.selectRefused(state, backlog, now)
     for (const job of refused) refuse(job, 'overload')
     if (state.ended) return
