run-agent: refuse starts on a worker whose zone is evacuated

Callers saw nothing: the rows by which operators evacuate a zone had no effect, and tasks went on being started there.

The agent is the last process before a worker, so it holds for orders in transit, deferred orders, and orders of entries that stood still or have not heard of the evacuation. It refuses with the reason `evacuated`; runs go on. Its report of free capacity says so, with the worker, so that an entry can tell an evacuated worker from one that does not exist.

--- a/packages/run-agent/src/agent.ts
+++ b/packages/run-agent/src/agent.ts
@@ -43,6 +43,7 @@
   /** Whether runs could be started at the last review. */
   let wasReady = false
   let whenEmpty: (() => void) | undefined
+  let evacuatedZones: ReadonlySet<string> = new Set()
 
   /**
    * An extension applies to all runs on the worker. It would keep a run that cannot be stopped alive beyond the time
@@ -56,9 +57,14 @@
     listedBornMs === worker.bornMs && !ledger.hasUnrecognised() && orderLease() !== undefined &&
     timers.monotonic() - listedAt < UNRESPONSIVE_AFTER_MS
 
+  const isEvacuated = (): boolean => worker !== undefined && evacuatedZones.has(worker.zone)
+
   const updates = capacityUpdates.create({
     timers,
-    currentCapacity: () => isReady() ? { worker, free: ledger.free() } : { free: runs.NO_RESOURCES },
+    currentCapacity: () => {
+      if (!isReady()) return { free: runs.NO_RESOURCES }
+      return isEvacuated() ? { worker, free: runs.NO_RESOURCES, evacuated: true } : { worker, free: ledger.free() }
+    },
     send
   })
 
@@ -147,6 +153,7 @@
   }
 
   const refusalOf = ({ amount }: runs.RequestedTask): string | undefined => {
+    if (isEvacuated()) return 'evacuated'
     if (!isReady()) return 'not-ready'
     return runs.fits(amount, ledger.free()) ? undefined : 'no-room'
   }
@@ -160,21 +167,14 @@
     // Both are known while the agent is ready.
     const leaseUntilMs = orderLease()!
     const target = worker!.id
-    const run: runLedger.Run = {
+    const run = runLedger.createRun({
       task: requested.task,
       run: ledger.nextRun(requested.task, requested.run),
       entry: entryByLink.get(link),
       order: requested.order,
       amount: requested.amount,
-      state: 'ordered',
-      orderedAt: timers.monotonic(),
-      startConfirmedAt: undefined,
-      stopRequestedAt: undefined,
-      stopConfirmedAt: undefined,
-      stopPending: false,
-      isListed: false,
-      outlivedWorker: false
-    }
+      state: 'ordered'
+    }, timers.monotonic())
     ledger.add(run)
     lease.recordRequest(leaseUntilMs)
     log.info('run-order', { task: run.task, run: run.run, link, freeMillicores: ledger.free().millicores })
@@ -237,21 +237,9 @@
   const stopUnrecognised = (task: runs.TaskId, run: number): void => {
     if (ledger.get(task)) return
     log.warn('run-unknown', { task, run })
-    const unrecognised: runLedger.Run = {
-      task,
-      run,
-      entry: undefined,
-      order: 0,
-      amount: runs.NO_RESOURCES,
-      state: 'stopping',
-      orderedAt: timers.monotonic(),
-      startConfirmedAt: undefined,
-      stopRequestedAt: undefined,
-      stopConfirmedAt: undefined,
-      stopPending: false,
-      isListed: false,
-      outlivedWorker: false
-    }
+    const unrecognised = runLedger.createRun({
+      task, run, entry: undefined, order: 0, amount: runs.NO_RESOURCES, state: 'stopping'
+    }, timers.monotonic())
     ledger.add(unrecognised)
     endRun(unrecognised)
     updates.changed()
@@ -378,6 +366,10 @@
         if (run?.entry === entry) endRun(run)
       }
     },
+    evacuate: (zones) => {
+      evacuatedZones = zones
+      updates.changed()
+    },
     drain: (done) => {
       whenEmpty = done
       updates.changed()
--- a/packages/run-agent/src/capacity-updates.ts
+++ b/packages/run-agent/src/capacity-updates.ts
@@ -15,8 +15,8 @@
 
 export interface Options {
   timers: clock.Timers
-  /** Returns the worker and its free capacity; without worker while nothing can be started. */
-  currentCapacity (): { worker?: runs.Worker, free: runs.Resources }
+  /** Returns the worker and its free capacity. The worker is absent while its agent is not ready to start anything. */
+  currentCapacity (): Pick<runs.CapacityMessage, 'worker' | 'free' | 'evacuated'>
   send (link: number, message: runs.CapacityMessage): void
 }
 
@@ -59,8 +59,8 @@
   left.priority === right.priority ? left.startDeadline < right.startDeadline : left.priority < right.priority
 
 const isSame = (left: runs.CapacityMessage, right: runs.CapacityMessage): boolean =>
-  left.sequence === right.sequence && left.sharers === right.sharers && runs.equals(left.free, right.free) &&
-  isSameWorker(left.worker, right.worker)
+  left.sequence === right.sequence && left.sharers === right.sharers && left.evacuated === right.evacuated &&
+  runs.equals(left.free, right.free) && isSameWorker(left.worker, right.worker)
 
 const isSameWorker = (left: runs.Worker | undefined, right: runs.Worker | undefined): boolean =>
   left === right || (left !== undefined && right !== undefined && JSON.stringify(left) === JSON.stringify(right))
@@ -74,6 +74,7 @@
   let cancelUpdate: clock.Cancellation | undefined
   /** The worker at the time of the latest update to all entries. */
   let lastWorker: runs.Worker | undefined
+  let lastEvacuated: boolean | undefined
 
   const sendUpdate = (entry: Entry): void => {
     const message: runs.CapacityMessage = { kind: 'room', sequence: entry.sequence, sharers: entries.size, ...currentCapacity() }
@@ -103,7 +104,9 @@
 
   const update = (): void => {
     cancelUpdate = undefined
-    lastWorker = currentCapacity().worker
+    const { worker, evacuated } = currentCapacity()
+    lastWorker = worker
+    lastEvacuated = evacuated
     for (const entry of entries.values()) {
       if (mustWait(entry)) scheduleUpdate(HEAD_START_MS)
       else sendUpdate(entry)
@@ -152,8 +155,8 @@
       scheduleUpdate()
     },
     changed: () => {
-      const { worker, free } = currentCapacity()
-      if (worker !== lastWorker) return updateAllNow()
+      const { worker, free, evacuated } = currentCapacity()
+      if (worker !== lastWorker || evacuated !== lastEvacuated) return updateAllNow()
       if (worker) sendIfStale(worker, free)
       scheduleUpdate()
     },
--- a/packages/run-agent/src/interface.ts
+++ b/packages/run-agent/src/interface.ts
@@ -15,6 +15,8 @@
   linkUp (link: number, entry: string): void
   /** Stops the runs of the entry, which is gone or can no longer trust this agent. */
   linkDown (link: number): void
+  /** From now on starts nothing while the worker is in one of the zones; runs go on. */
+  evacuate (zones: ReadonlySet<string>): void
   receive (link: number, message: runs.ToAgent): void
   /** Starts no more runs; `whenEmpty` is called when no run is left. */
   drain (whenEmpty: () => void): void
--- a/packages/run-agent/src/run-ledger.ts
+++ b/packages/run-agent/src/run-ledger.ts
@@ -30,6 +30,20 @@
   outlivedWorker: boolean
 }
 
+/** Creates a run that was ordered at the given monotonic ms. */
+export const createRun = (
+  order: Pick<Run, 'task' | 'run' | 'entry' | 'order' | 'amount' | 'state'>, orderedAt: number
+): Run => ({
+  ...order,
+  orderedAt,
+  startConfirmedAt: undefined,
+  stopRequestedAt: undefined,
+  stopConfirmedAt: undefined,
+  stopPending: false,
+  isListed: false,
+  outlivedWorker: false
+})
+
 /** Runs that hold capacity on the worker, and the highest run number of each task recently started there. */
 export interface RunLedger {
   get (task: runs.TaskId): Run | undefined
--- a/packages/runs/src/messages.ts
+++ b/packages/runs/src/messages.ts
@@ -48,6 +48,8 @@
   /** Absent while the agent cannot start tasks on a worker. */
   worker?: runs.Worker
   free: resources.Resources
+  /** True while nothing may be started on the worker because its zone is evacuated; `free` is then nothing. */
+  evacuated?: true
   /** Number of entries sharing the worker. */
   sharers: number
 }
