job-dispatcher: place nothing in evacuated zones, and refuse what fits only there

`Dispatcher.evacuate` takes the evacuated zones. Their workers get no orders and no demand, and admission does not count them as capacity. A job that fits only workers there is refused as not run (`evacuated`) on arrival, and when the set changes if it waits; one that has begun waits for the zone until its caller's deadline, and its work is not counted against other jobs. While agents are about to link, nothing is refused for this reason.

An agent that reports the evacuation, or refuses an order for it, makes its zone evacuated for this entry until it takes the report back, is gone, or the entry learns of the return. Such a refusal counts neither as a failed run nor against the worker, and the task goes to another zone.

--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -27,6 +27,7 @@
   const { task, job } = state
   if (state.heldBy !== undefined && agent.name !== state.heldBy && now < state.heldUntil) return false
   if (!worker || worker.leaving || worker.service !== job.job.queue.service) return false
+  if (agents.evacuations.covers(agent)) return false
   if (!runs.fits(task.amount, agent.free)) return false
   if (task.label && !worker.labels.includes(task.label)) return false
   if (placedTasks(agent, state) >= job.job.steps[state.step]!.maxPerWorker) return false
--- a/packages/job-dispatcher/src/agents.ts
+++ b/packages/job-dispatcher/src/agents.ts
@@ -1,5 +1,6 @@
 import * as placement from '@mustarddeck/placement'
 import * as runs from '@mustarddeck/runs'
+import * as evacuations from './evacuations.ts'
 import type * as jobs from './jobs.ts'
 
 /** State of an agent as known to one entry. */
@@ -19,6 +20,8 @@
   inFlight: Map<runs.TaskId, { sequence: number, amount: runs.Resources }>
   /** Whether the agent has reported its worker on this link. */
   hasReportedWorker: boolean
+  /** Zone for whose evacuation the agent refuses orders. */
+  evacuatedZone: string | undefined
   /** Tasks ordered on this agent that have not ended. */
   tasks: Map<runs.TaskId, jobs.TaskState>
   health: placement.health.WorkerHealth
@@ -30,6 +33,8 @@
   down (link: number): Agent | undefined
   get (link: number): Agent | undefined
   all (): IterableIterator<Agent>
+  /** Returns the agents on whose worker something may be started. */
+  inService (): Agent[]
   /** Applies the agent's report of its worker and free capacity. */
   update (agent: Agent, report: runs.CapacityMessage): void
   /** Reserves the amount for an order that the agent's report doesn't include yet. */
@@ -37,12 +42,14 @@
   /** Removes an order that the agent's later reports include or that has no effect. */
   removeOrder (agent: Agent, task: runs.TaskId): void
   readonly health: placement.health.Health
+  readonly evacuations: evacuations.Evacuations
 }
 
 export const create = (): Agents => {
   const byLink = new Map<number, Agent>()
   const healthByName = new Map<string, { bornMs: number, health: placement.health.WorkerHealth }>()
   const health = placement.health.create({ enabled: true })
+  const evacuated = evacuations.create()
 
   const updateFree = (agent: Agent, reported: runs.Resources): void => {
     agent.free = reported
@@ -62,6 +69,7 @@
   }
   return {
     health,
+    evacuations: evacuated,
     up: (link, name, incarnation) => {
       const agent: Agent = {
         link,
@@ -73,6 +81,7 @@
         sequence: 0,
         inFlight: new Map(),
         hasReportedWorker: false,
+        evacuatedZone: undefined,
         tasks: new Map(),
         health: placement.health.createWorkerHealth()
       }
@@ -82,13 +91,16 @@
     down: (link) => {
       const agent = byLink.get(link)
       byLink.delete(link)
+      if (agent) evacuated.forget(agent, byLink.values())
       return agent
     },
     get: (link) => byLink.get(link),
     all: () => byLink.values(),
-    update: (agent, { worker, free, sequence, sharers }) => {
+    inService: () => [...byLink.values()].filter((agent) => !evacuated.covers(agent)),
+    update: (agent, { worker, free, sequence, sharers, evacuated: isEvacuated }) => {
       if (worker && worker.bornMs !== agent.worker?.bornMs) trackHealth(agent, worker)
       agent.worker = worker
+      if (worker) evacuated.report(agent, isEvacuated === true)
       agent.entryCount = sharers
       for (const [task, order] of agent.inFlight) if (order.sequence <= sequence) agent.inFlight.delete(task)
       updateFree(agent, free)
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
 import * as reviewTimer from './review-timer.ts'
+import * as startOrders from './start-orders.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
 /** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
@@ -22,8 +23,6 @@
 const RETRY_AFTER_MS = 1000
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
 const ANSWER_MARGIN_MS = 40
-/** Maximum number of tasks in one log line; the log truncates longer values. */
-const MAX_LOGGED_TASKS = 16
 
 export interface Options {
   timers: clock.Timers
@@ -56,6 +55,8 @@
   const discovery = fleetDiscovery.create(timers)
   let drainDeadline: number | undefined
   let placementScheduled = false
+  /** True if jobs may be waiting that fit only workers in evacuated zones. */
+  let mustReassess = false
   let lastOrder = 0
 
   const estimateOf = (state: jobs.TaskState): number => estimates.expectedRunMs(state.job.job.queue.name, state.task)
@@ -118,7 +119,10 @@
       }
       options.onRefusedOrder(message.reason ?? 'unknown')
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
-      if (message.reason !== 'no-room') task.avoidedAgents.add(agent.name)
+      if (message.reason === 'evacuated') {
+        agents.evacuations.report(agent, true)
+        scheduleReassessment()
+      } else if (message.reason !== 'no-room') task.avoidedAgents.add(agent.name)
       return
     }
     job.mayHaveStarted = true
@@ -161,18 +165,32 @@
     placementScheduled = true
     timers.after(0, () => {
       placementScheduled = false
+      if (mustReassess) reassess()
       place()
     })
   }
+  const scheduleReassessment = (): void => {
+    mustReassess = true
+    schedulePlacement()
+  }
+  /** Refuses the jobs that have not begun and fit only evacuated workers, once the agents of others have linked. */
+  const reassess = (): void => {
+    mustReassess = discovery.isIncomplete()
+    if (mustReassess) return
+    const limits = fleetCapacity.createLimits(agents)
+    for (const job of [...byKey.values()]) {
+      if (!jobs.hasBegun(job) && limits.ofJob(job.job) === 'evacuated') refuse(job, 'evacuated')
+    }
+  }
   /** Places waiting tasks on the given agent or on any, the most urgent jobs first. */
   const place = (onlyAgent?: fleet.Agent): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
-    const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
+    const candidates = onlyAgent ? [onlyAgent] : agents.inService().filter(({ free }) => free.millicores > 0)
     if (candidates.every(({ free }) => free.millicores <= 0)) return
     const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>() }
     for (const job of [...waiting]) placeJob(job, situation, batch)
-    for (const [agent, tasks] of batch) sendOrders(agent, tasks)
+    for (const [agent, tasks] of batch) startOrders.send(agent, tasks, { log, send })
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
     let unplaced = 0
@@ -199,22 +217,6 @@
     outstanding.set(task.task.id, task)
     task.job.outstanding++
   }
-  const sendOrders = (agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
-    const bySpec = new Map<string, jobs.TaskState[]>()
-    for (const task of tasks) {
-      const spec = task.job.job.spec
-      bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
-    }
-    for (const [spec, group] of bySpec) {
-      const startOrders = group.map(({ task, order, orders }) => (
-        { task: task.id, order, run: orders, amount: task.amount }))
-      send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: startOrders })
-      for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
-        const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
-        log.info('order', { tasks: ids, agent: agent.name, freeMillicores: agent.free.millicores })
-      }
-    }
-  }
 
   const endIfLate = (job: jobs.JobState, now: number): void => {
     if (now >= job.callerDeadline - ANSWER_MARGIN_MS) {
@@ -242,6 +244,7 @@
 
   const review = (): void => {
     const now = timers.monotonic()
+    if (mustReassess) reassess()
     for (const job of [...byKey.values()]) endIfLate(job, now)
     for (const task of [...outstanding.values()]) {
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
@@ -250,12 +253,14 @@
       } else if (task.phase === 'ordered') reviewRun(task, task.agent!, now - task.orderedAt)
     }
     place()
-    demandNotifier.announce(agents.all(), waiting)
+    demandNotifier.announce(agents.inService(), waiting)
   }
   const reviews = reviewTimer.create({ timers, review, isWaiting: () => waiting.size > 0 })
 
-  const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
-    jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
+  /** Work of the job that waits for capacity, without tasks that wait for the end of an evacuation. */
+  const workOf = (limits: fleetCapacity.Limits) => ({ job, tasks }: jobs.JobState): number => tasks
+    .filter((task) => jobs.isUnassigned(task) && !limits.isEvacuated(job.queue.service, task.task))
+    .reduce((sum, task) => sum + task.task.amount.millicores * estimateOf(task), 0)
   const join = (key: runs.JobKey, answer: interfaces.Answer, callerTimeoutMs: number): boolean => {
     const job = byKey.get(key)
     if (!job) return false
@@ -270,9 +275,13 @@
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.callerTimeoutMs })
     byKey.set(job.key, state)
     held.add(state)
-    if (!fleetCapacity.canEverRun(agents, job)) return refuse(state, 'never-runnable')
+    const limits = fleetCapacity.createLimits(agents)
+    const limit = limits.ofJob(job)
+    if (limit === 'never-runnable' || (limit && !discovery.isIncomplete())) return refuse(state, limit)
+    mustReassess ||= limit !== undefined
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
-    const backlog = { waiting, workOf, millicores: fleetCapacity.entryShare(agents, job.queue.service) }
+    const millicores = fleetCapacity.entryShare(agents, job.queue.service)
+    const backlog = { waiting, workOf: workOf(limits), millicores }
     const refused = discovery.isIncomplete() ? [] : admission.selectRefused(state, backlog, now)
     for (const job of refused) refuse(job, 'overload')
     if (state.ended) return
@@ -330,14 +339,16 @@
       const mayRunUntil = trustedUntil + lapseAfterMs
       const waitMs = Math.round(mayRunUntil - timers.monotonic())
       const ids = [...agent.tasks.keys()]
-      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
+      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, startOrders.MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
       for (const task of agent.tasks.values()) markLost(task, mayRunUntil)
     },
     receive: (link, message) => {
       const agent = agents.get(link)
       if (!agent) return
       if (message.kind === 'room') {
+        const wasInService = !agents.evacuations.covers(agent)
         agents.update(agent, message)
+        if (agents.evacuations.covers(agent) === wasInService) scheduleReassessment()
         if (message.worker && !agent.hasReportedWorker) releaseFormerIncarnation(agent)
         agent.hasReportedWorker ||= message.worker !== undefined
         place(agent)
@@ -345,6 +356,11 @@
       }
       onEnded(agent, message)
     },
+    evacuate: (zones) => {
+      agents.evacuations.replace(zones, agents.all())
+      reassess()
+      place()
+    },
     suspended: (uncountedMs) => {
       const now = timers.monotonic()
       for (const job of [...byKey.values()]) {
--- a/packages/job-dispatcher/src/interface.ts
+++ b/packages/job-dispatcher/src/interface.ts
@@ -47,7 +47,8 @@
   callerTimeoutMs: number
 }
 
-export type NotRunReason = 'overload' | 'never-runnable' | 'draining'
+/** `evacuated`: the job fits only workers in evacuated zones. */
+export type NotRunReason = 'overload' | 'never-runnable' | 'draining' | 'evacuated'
 /**
  * `earlier-attempt`: the job is refused, but a task of it may have started when it was submitted before.
  * `taken-over`: another entry may have started the job, as this one did not answer it for a while.
@@ -87,6 +88,8 @@
   /** `trustedUntil` is the monotonic ms until which the agent may have acted on this entry's orders. */
   agentDown (link: number, trustedUntil: number): void
   receive (link: number, message: runs.FromAgent): void
+  /** From now on starts nothing on workers in these zones. Jobs that have not begun and fit no others are refused. */
+  evacuate (zones: ReadonlySet<string>): void
   /** Brings the deadlines of all jobs forward by the time in ms for which the monotonic clock stood still. */
   suspended (uncountedMs: number): void
   /** From now on refuses new jobs that can't end within `remainingMs` of this call. */
--- a/packages/job-dispatcher/src/testing/small-fleet.ts
+++ b/packages/job-dispatcher/src/testing/small-fleet.ts
@@ -14,7 +14,9 @@
 }
 
 /** Creates a dispatcher and agents on simulated workers, on a virtual clock. */
-export const setUp = async ({ workers = 2, slots = 3, runMs = 200, linked = true } = {}) => {
+export const setUp = async ({
+  workers = 2, slots = 3, runMs = 200, linked = true, placeOf = (_index: number): Partial<runs.Worker> => ({})
+} = {}) => {
   const timers = clock.createVirtual({ start: new Date(1_000_000) })
   const site = standIn.createSite()
   const log = logging.create({ level: 'error' })
@@ -40,7 +42,7 @@
     const agent = runAgent.create({
       calls: worker.calls, timers, log, send, closeExpiredLinks: () => {}, onWorkerChange: () => {}, onRunEnd: () => {}
     })
-    return { agent, link, worker }
+    return { agent, link, worker, describe: (): runs.Worker => ({ ...worker.worker(), ...placeOf(index) }) }
   })
   const entry = jobDispatcher.create({
     timers,
@@ -54,10 +56,10 @@
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
     onRefusedOrder: (reason) => observed.push(`order ${reason}`)
   })
-  const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
+  const linkUp = ({ agent, link, worker, describe }: typeof fleet[number]): void => {
     entry.agentUp(link, worker.worker().id, 'incarnation')
     agent.linkUp(0, 'entry-1')
-    agent.workerAnnounced(worker.worker(), undefined)
+    agent.workerAnnounced(describe(), undefined)
   }
   if (linked) {
     fleet.forEach(linkUp)
