fleet, platform: read evacuations from the store and spread them

Callers saw nothing, but operators did: of the rows `evacuate/ZONE` in the table `op` none was read.

Each process holds the set with the store version as of which it holds; of two sets the higher version wins. The message `evacuations` goes to each new peer before the version of the configuration, to all peers at a change, and back to a peer that knows an older, different set. A configuration is in force only once the evacuations are known. Names of zones and their number are bounded, so that odd rows end no process.

Gauge `mustarddeck_evacuated_zones`, also in `status`; log line `evacuations` at each change.

--- a/packages/fleet/src/agent.ts
+++ b/packages/fleet/src/agent.ts
@@ -64,6 +64,7 @@
     counters: { mustarddeck_runs_ended_total: { help: 'Runs that ended, by end', label: 'end' } },
     gauges: {
       mustarddeck_links: { help: 'Links to entries that are up', read: () => member.peers.links().size },
+      mustarddeck_evacuated_zones: members.evacuatedZonesGauge(() => member.follower),
       mustarddeck_runs: { help: 'Runs that hold room on the worker', read: () => agent.runCount() }
     },
     times: { name: 'mustarddeck_run', help: 'Time from order to end of a run', label: 'end' },
@@ -81,6 +82,7 @@
     // Entries follow the store. If no linked entry reaches it, the agent follows it and shares the configuration.
     followsStore: () => timers.monotonic() - startedAt > FOLLOW_STORE_AFTER_MS &&
       ![...storeReachable.values()].includes(true),
+    onEvacuations: (zones) => agent.evacuate(zones),
     onPause: () => agent.resumed(),
     up: ({ id, peer }) => agent.linkUp(id, peer.life),
     message: ({ id, peer }, message) => {
--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -38,7 +38,7 @@
 
 /** An entry: accepts jobs from callers and places them on the workers of linked agents. */
 export interface Entry {
-  jobs: Omit<jobDispatcher.Dispatcher, 'submit' | 'abandon' | 'cancel' | 'leave'>
+  jobs: Omit<jobDispatcher.Dispatcher, 'submit' | 'abandon' | 'cancel' | 'leave' | 'evacuate'>
   /** Runs the job here, or waits for its outcome if another entry runs it. */
   submit: jobClaims.Claims['submit']
   /** The caller no longer waits. */
@@ -67,7 +67,7 @@
 export const create = (options: Options): Entry => {
   const { name, incarnation, zone, host, port, seeds, store, timers, log, leftOutLines } = options
   const address = `${host}:${port}`
-  const workerUsable = new Map<number, boolean>()
+  const workerStates = new Map<number, 'absent' | 'usable' | 'evacuated'>()
   const waitingByLink = new Map<number, Record<string, number>>()
   /** Status last reported to the other entries; `at` is the monotonic ms of that report. */
   let lastReport = { storeReachable: false, text: '', at: -Infinity }
@@ -102,7 +102,7 @@
   const receive = (session: sessions.Session, message: messages.Message): void => {
     switch (message.kind) {
       case 'room':
-        workerUsable.set(session.id, message.worker !== undefined)
+        workerStates.set(session.id, !message.worker ? 'absent' : message.evacuated ? 'evacuated' : 'usable')
         return jobs.receive(session.id, message)
       case 'ended':
         return jobs.receive(session.id, message)
@@ -136,6 +136,7 @@
     maxLinks: Infinity,
     isIdle: () => false,
     followsStore: () => true,
+    onEvacuations: (zones) => jobs.evacuate(zones),
     onPause: ({ gapMs, uncountedMs }) => {
       jobs.suspended(uncountedMs)
       claims.suspended(gapMs)
@@ -147,7 +148,7 @@
     },
     message: receive,
     down: ({ id, peer }, trustedUntil) => {
-      workerUsable.delete(id)
+      workerStates.delete(id)
       waitingByLink.delete(id)
       if (peer.role === 'agent') jobs.agentDown(id, trustedUntil)
       else claims.entryDown(id)
@@ -203,8 +204,9 @@
       },
       mustarddeck_linked_entries: { help: 'Other entries with a link', read: () => otherEntries().length },
       mustarddeck_usable_workers: {
-        help: 'Workers on which something can be started', read: () => [...workerUsable.values()].filter(Boolean).length
+        help: 'Workers on which something can be started', read: () => [...workerStates.values()].filter((state) => state === 'usable').length
       },
+      mustarddeck_evacuated_zones: members.evacuatedZonesGauge(() => follower),
       mustarddeck_configuration_version: {
         help: 'Version in force; -1 before the first one', read: () => follower.current()?.version ?? -1
       },
@@ -223,7 +225,9 @@
     measurements: measured,
     deployment: () => follower.current(),
     isCurrent: () => follower.isCurrent(),
-    isReady: () => !draining && follower.current() !== undefined && [...workerUsable.values()].includes(true),
+    // An entry whose workers are all evacuated must tell its callers so.
+    isReady: () => !draining && follower.current() !== undefined &&
+      [...workerStates.values()].some((state) => state !== 'absent'),
     cancel: (key) => cancelHere(key) ? Promise.resolve('cancelled') : remoteCancellations.ask(key),
     linkedEntries: () => otherEntries().length,
     waiting: (queue) => {
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import * as logging from '@mustarddeck/log'
 import type * as deployments from './deployment.ts'
+import * as evacuations from './evacuations.ts'
 import type * as stores from './store.ts'
 
 /** Time in ms that one call waits for a change, and thus the longest interval between confirmations. */
@@ -10,13 +11,23 @@
 /** Time in ms for which a confirmation is valid; longer than `LONG_POLL_MS` plus the time of a slow response. */
 const CURRENT_FOR_MS = 2500
 
-/** Holds the newest configuration received from the store or from a peer. Its version never decreases. */
+/**
+ * Holds the newest configuration and the newest evacuations received from the store or from peers. Their versions never
+ * decrease. A configuration is in force only once the evacuations are known, as tasks would be started in evacuated
+ * zones otherwise.
+ */
 export interface Follower {
+  /** The configuration in force. */
   current (): deployments.Deployment | undefined
+  /** The newest configuration received, whether or not it is in force. */
+  received (): deployments.Deployment | undefined
+  evacuations (): evacuations.Evacuations | undefined
   /** True if the store has recently confirmed that there is no newer configuration. */
   isCurrent (): boolean
   /** Applies a newer configuration; returns false if the version isn't newer. */
   offer (deployment: deployments.Deployment): boolean
+  /** Applies the evacuations of a peer if they hold as of a higher store version. */
+  offerEvacuations (evacuations: evacuations.Evacuations): void
   stop (): void
 }
 
@@ -27,18 +38,20 @@
   /** False while peers follow the store on behalf of this process. */
   isNeeded (): boolean
   onChange (deployment: deployments.Deployment): void
+  onEvacuations (evacuations: evacuations.Evacuations): void
 }
 
-export const create = ({ store, timers, log, isNeeded, onChange }: Options): Follower => {
-  let current: deployments.Deployment | undefined
+export const create = ({ store, timers, log, isNeeded, onChange, onEvacuations }: Options): Follower => {
+  let received: deployments.Deployment | undefined
+  const evacuated = evacuations.create({ log, onChange: onEvacuations })
   let mark: stores.Mark | undefined
   let confirmedAt = -Infinity
   let stopped = false
   let wasReachable: boolean | undefined
 
   const offer = (deployment: deployments.Deployment): boolean => {
-    if (current && deployment.version <= current.version) return false
-    current = deployment
+    if (received && deployment.version <= received.version) return false
+    received = deployment
     log.info('configuration', { version: deployment.version, routes: deployment.routes.length })
     onChange(deployment)
     return true
@@ -66,8 +79,9 @@
     // change confirms it only as of the request.
     confirmedAt = result.value.deployment ? sentAt : timers.monotonic()
     mark = result.value.mark
+    if (!evacuated.read(result.value.evacuations, mark.version)) mark = undefined
     if (result.value.deployment) offer(result.value.deployment)
-    else if (!current) {
+    else if (!received) {
       mark = undefined
       await delay(RETRY_DELAY_MS)
     }
@@ -79,9 +93,12 @@
   }
   pollRepeatedly()
   return {
-    current: () => current,
+    current: () => evacuated.current() ? received : undefined,
+    received: () => received,
+    evacuations: evacuated.current,
     isCurrent: () => timers.monotonic() - confirmedAt < CURRENT_FOR_MS,
     offer,
+    offerEvacuations: evacuated.receive,
     stop: () => { stopped = true }
   }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 export * from './deployment.ts'
+export type { EvacuationRows, Evacuations } from './evacuations.ts'
 export * from './store.ts'
 export type { CancelOutcome } from './cancellations.ts'
 export * as entry from './entry.ts'
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -12,7 +12,7 @@
 /** Longest gap in ms that isn't treated as a pause of the process; shorter than the trust time of links. */
 const PAUSE_LIMIT_MS = 300
 
-/** Common part of entries and agents: links to peers, discovery, and propagation of the configuration. */
+/** Common part of entries and agents: links to peers, discovery, and propagation of configuration and evacuations. */
 export interface Member {
   links: sessions.Sessions<messages.Message>
   follower: follow.Follower
@@ -34,6 +34,8 @@
   isIdle (session: sessions.Session): boolean
   /** False while peers follow the store on behalf of this process. */
   followsStore (): boolean
+  /** Called when the evacuated zones are first known and when they have changed. */
+  onEvacuations (zones: ReadonlySet<string>): void
   /** Called after the process was paused or suspended, before its links are closed. */
   onPause (pause: sessions.Pause): void
   up (session: sessions.Session): void
@@ -45,6 +47,11 @@
 /** Seed of the process's random decisions, from the hexadecimal digits of its incarnation. */
 const seedOf = (incarnation: string): number => Number.parseInt(incarnation.slice(-7), 16) || 0
 
+/** Gauge of the evacuated zones that a process knows of. */
+export const evacuatedZonesGauge = (follower: () => follow.Follower) => ({
+  help: 'Evacuated zones; -1 until they are known', read: () => follower().evacuations()?.zones.length ?? -1
+})
+
 export const create = (options: Options): Member => {
   const { hello, seeds, store, timers, log, removesStaleRows, maxLinks, isIdle } = options
 
@@ -91,15 +98,22 @@
     timers,
     log,
     isNeeded: options.followsStore,
-    onChange: () => propagation.changed()
+    onChange: () => propagation.changed(),
+    onEvacuations: ({ zones }) => {
+      // Peers are told first: an entry then knows the reason before an agent refuses its orders.
+      propagation.evacuationsChanged()
+      options.onEvacuations(new Set(zones))
+    }
   })
   const peers = discovery.create({ links, store, timers, log, seeds, removesStaleRows, hello, maxLinks, isIdle })
 
   const propagation = propagations.create({
     timers,
     links,
-    current: () => follower.current(),
+    current: () => follower.received(),
     offer: (deployment) => follower.offer(deployment),
+    evacuations: () => follower.evacuations(),
+    offerEvacuations: (evacuations) => follower.offerEvacuations(evacuations),
     broadcast: (message) => peers.broadcast(message),
     // Entries follow the store, and each agent is linked to several of them.
     repeatsVersion: hello.role === 'entry'
--- a/packages/fleet/src/message-validation.ts
+++ b/packages/fleet/src/message-validation.ts
@@ -1,4 +1,5 @@
 import * as deployments from './deployment.ts'
+import * as evacuations from './evacuations.ts'
 import type * as messages from './messages.ts'
 import * as validation from './validation.ts'
 
@@ -55,13 +56,16 @@
   start: ({ sequence, spec, tasks }) => isCount(sequence) && isText(spec) && isListOf(tasks, isRequestedTask),
   stop: ({ tasks }) => isListOf(tasks, isText),
   want: ({ urgency }) => isOptional(urgency, isUrgency),
-  room: ({ sequence, sharers, worker, free }) =>
-    isCount(sequence) && isCount(sharers) && sharers > 0 && isOptional(worker, validation.isWorker) && isFree(free),
+  room: ({ sequence, sharers, worker, free, evacuated }) =>
+    isCount(sequence) && isCount(sharers) && sharers > 0 && isOptional(worker, validation.isWorker) && isFree(free) &&
+    isOptional(evacuated, isFlag),
   ended: ({ task, order, run, end, ranMs, reason }) =>
     isText(task) && isCount(order) && isCount(run) && isText(end) && isNumber(ranMs) && isOptional(reason, isText),
   version: ({ version }) => isCount(version),
   'deployment-wanted': () => true,
   deployment: ({ deployment }) => isDeployment(deployment),
+  evacuations: ({ storeVersion, zones }) =>
+    isCount(storeVersion) && isListOf(zones, evacuations.isZone) && zones.length <= evacuations.MAX_ZONES,
   entries: ({ addresses }) => isListOf(addresses, isText),
   status: ({ storeReachable, waiting }) => isFlag(storeReachable) && isCounts(waiting),
   cancel: ({ request, key }) => isCount(request) && isText(key),
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,6 +1,7 @@
 import type * as jobClaims from '@mustarddeck/job-claims'
 import type * as runs from '@mustarddeck/runs'
 import type * as deployments from './deployment.ts'
+import type * as evacuations from './evacuations.ts'
 
 /** Messages between processes other than those about runs. */
 export type PeerMessage =
@@ -10,6 +11,8 @@
   | { kind: 'deployment-wanted' }
   /** The sender's configuration. */
   | { kind: 'deployment', deployment: deployments.Deployment }
+  /** The zones that the sender knows to be evacuated. */
+  | { kind: 'evacuations' } & evacuations.Evacuations
   /** Addresses of the entries that the sender knows. */
   | { kind: 'entries', addresses: string[] }
   /** Status of the sending entry; `waiting` is the number of waiting jobs by queue. */
--- a/packages/fleet/src/propagation.test.ts
+++ b/packages/fleet/src/propagation.test.ts
@@ -2,6 +2,7 @@
 import type * as sessions from '@mustarddeck/sessions'
 import { expect } from 'chai'
 import type * as deployments from './deployment.ts'
+import type * as evacuations from './evacuations.ts'
 import type * as messages from './messages.ts'
 import * as propagations from './propagation.ts'
 
@@ -11,10 +12,12 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 })
 
-const setUp = (version?: number) => {
+const setUp = (version?: number, evacuations?: evacuations.Evacuations) => {
   const timers = clock.createVirtual()
   const sent: Array<[link: number, kind: string]> = []
   const broadcasts: number[] = []
+  const broadcastZones: string[][] = []
+  const offered: evacuations.Evacuations[] = []
   let current = version === undefined ? undefined : deploymentOf(version)
   const propagation = propagations.create({
     timers,
@@ -26,9 +29,14 @@
       current = deployment
       return true
     },
-    broadcast: (message) => { if (message.kind === 'version') broadcasts.push(message.version) }
+    evacuations: () => evacuations,
+    offerEvacuations: ({ storeVersion, zones }) => offered.push({ storeVersion, zones }),
+    broadcast: (message) => {
+      if (message.kind === 'version') broadcasts.push(message.version)
+      if (message.kind === 'evacuations') broadcastZones.push(message.zones)
+    }
   })
-  return { sent, propagation, timers, broadcasts, version: () => current?.version }
+  return { sent, propagation, timers, broadcasts, broadcastZones, offered, version: () => current?.version }
 }
 
 describe('propagation of the configuration', () => {
@@ -74,6 +82,31 @@
     expect(sent[1]).to.deep.equal([4, 'deployment'])
   })
 
+  // A peer with a configuration but without the evacuations would start tasks in an evacuated zone.
+  it('sends the evacuations to a new peer before the version, and to all peers at a change', () => {
+    const { sent, propagation, broadcastZones } = setUp(5, { storeVersion: 7, zones: ['a', 'b'] })
+    propagation.up(4)
+    expect(sent).to.deep.equal([[4, 'evacuations'], [4, 'version']])
+    propagation.evacuationsChanged()
+    expect(broadcastZones).to.deep.equal([['a', 'b']])
+  })
+
+  it('hands over the evacuations of a peer', () => {
+    const { propagation, offered } = setUp()
+    expect(propagation.receive(4, { kind: 'evacuations', storeVersion: 3, zones: ['a'] })).to.equal(true)
+    expect(offered).to.deep.equal([{ storeVersion: 3, zones: ['a'] }])
+  })
+
+  // A peer that heard of an evacuation, but whose informant is gone before it has told of the return, would never know.
+  it('corrects a peer that knows an older set, but only if the set differs', () => {
+    const { sent, propagation } = setUp(5, { storeVersion: 7, zones: ['a'] })
+    propagation.receive(4, { kind: 'evacuations', storeVersion: 6, zones: ['a'] })
+    propagation.receive(4, { kind: 'evacuations', storeVersion: 8, zones: ['b'] })
+    expect(sent).to.deep.equal([])
+    propagation.receive(4, { kind: 'evacuations', storeVersion: 6, zones: ['a', 'b'] })
+    expect(sent).to.deep.equal([[4, 'evacuations']])
+  })
+
   it('ignores messages of other kinds', () => {
     expect(setUp().propagation.receive(1, { kind: 'entries', addresses: [] })).to.equal(false)
   })
--- a/packages/fleet/src/propagation.ts
+++ b/packages/fleet/src/propagation.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as sessions from '@mustarddeck/sessions'
 import type * as deployments from './deployment.ts'
+import * as evacuations from './evacuations.ts'
 import type * as messages from './messages.ts'
 
 /** Time in ms after which an unanswered request for a configuration is sent to another peer. */
@@ -13,6 +14,8 @@
   links: sessions.Sessions<messages.Message>
   current (): deployments.Deployment | undefined
   offer (deployment: deployments.Deployment): boolean
+  evacuations (): evacuations.Evacuations | undefined
+  offerEvacuations (evacuations: evacuations.Evacuations): void
   broadcast (message: messages.Message): void
   /** False for a process that broadcasts its version only when it changes. */
   repeatsVersion?: boolean
@@ -20,18 +23,22 @@
 
 /**
  * Propagates the configuration between peers. Only its version is broadcast. A process that has an older one requests
- * the configuration from one peer, since a large configuration from every peer would block a slow link.
+ * the configuration from one peer, since a large configuration from every peer would block a slow link. Evacuations are
+ * sent as a whole, since they are few and urgent.
  */
 export interface Propagation {
   up (link: number): void
   /** Called when this process has applied a newer configuration. */
   changed (): void
-  /** Handles a message about the configuration; returns false for other kinds. */
+  /** Called when the evacuations that this process knows of have changed. */
+  evacuationsChanged (): void
+  /** Handles a message about the configuration or evacuations; returns false for other kinds. */
   receive (link: number, message: messages.Message): boolean
   stop (): void
 }
 
-export const create = ({ timers, links, current, offer, broadcast, repeatsVersion = true }: Options): Propagation => {
+export const create = (options: Options): Propagation => {
+  const { timers, links, current, offer, broadcast, repeatsVersion = true } = options
   /** Latest version that each peer has announced, by link; peers that were asked for it are removed. */
   const announced = new Map<number, number>()
   let lastRequest: { version: number, at: number } | undefined
@@ -41,6 +48,17 @@
     const deployment = current()
     return deployment && { kind: 'version', version: deployment.version }
   }
+  const evacuationsMessage = (): messages.Message | undefined => {
+    const evacuations = options.evacuations()
+    return evacuations && { kind: 'evacuations', ...evacuations }
+  }
+  /** Applies the peer's evacuations, or corrects the peer if it knows an older set. */
+  const receiveEvacuations = (link: number, received: evacuations.Evacuations): void => {
+    options.offerEvacuations(received)
+    const own = options.evacuations()
+    if (!own || own.storeVersion <= received.storeVersion || evacuations.isSame(own, received)) return
+    links.send(link, { kind: 'evacuations', ...own })
+  }
   const broadcastVersion = (): void => {
     const message = versionMessage()
     if (message) broadcast(message)
@@ -72,12 +90,17 @@
   }
   return {
     up: (link) => {
-      const message = versionMessage()
-      if (message) links.send(link, message)
+      // The peer must know the evacuations before it has a configuration, and before an agent gets orders.
+      for (const message of [evacuationsMessage(), versionMessage()]) if (message) links.send(link, message)
     },
     changed: broadcastVersion,
+    evacuationsChanged: () => {
+      const message = evacuationsMessage()
+      if (message) broadcast(message)
+    },
     receive: (link, message) => {
       if (message.kind === 'version') requestIfNewer(link, message.version)
+      else if (message.kind === 'evacuations') receiveEvacuations(link, message)
       else if (message.kind === 'deployment') offer(message.deployment)
       else if (message.kind === 'deployment-wanted') {
         const deployment = current()
--- a/packages/fleet/src/store.ts
+++ b/packages/fleet/src/store.ts
@@ -1,5 +1,6 @@
 import type * as errors from '@mustarddeck/errors'
 import type * as deployments from './deployment.ts'
+import type * as evacuations from './evacuations.ts'
 
 /** Tables of this system: addresses of entries by the entry's name, and workers by the agent's name. */
 export type Table = 'entries' | 'workers'
@@ -22,6 +23,8 @@
 export interface DeploymentChange {
   /** Undefined if nothing has changed or the change can't be parsed. */
   deployment: deployments.Deployment | undefined
+  /** Evacuated zones as of the mark, or their changes up to it. */
+  evacuations: evacuations.EvacuationRows
   mark: Mark
 }
 
@@ -31,7 +34,7 @@
   abstract row (table: Table, key: string): Promise<StoreResult<Row | undefined>>
   abstract write (table: Table, row: Row): Promise<StoreResult<undefined>>
   abstract remove (table: Table, key: string): Promise<StoreResult<undefined>>
-  /** Returns the configuration in force. */
+  /** Returns the configuration in force and all evacuations. */
   abstract deployment (): Promise<StoreResult<DeploymentChange>>
   /** Waits up to `waitMs` for a change after the mark. */
   abstract nextDeployment (mark: Mark, waitMs: number): Promise<StoreResult<DeploymentChange>>
