job-dispatcher: test that capacity released in an evacuated zone is not used

Without the condition in agent-selection.ts no test failed: an agent that has not heard of the evacuation reports capacity when its runs end, and the entry offers that capacity to waiting tasks. With the condition taken out the new test fails.

--- a/packages/job-dispatcher/src/evacuation.test.ts
+++ b/packages/job-dispatcher/src/evacuation.test.ts
@@ -266,6 +266,19 @@
       expect(new Set(orders())).to.deep.equal(new Set([2, 4]))
     })
 
+    // An agent that has not heard of it still reports the capacity that its runs release.
+    it('sends no orders there when runs end there', async () => {
+      const { entry, orders, pass, sent, submit } = await setUp()
+      submit({ tasks: 12 })
+      await pass(20)
+      const { result } = submit({ tasks: 6, queue: { ...QUEUE, objectiveMs: 2000 } })
+      entry.evacuate(A)
+      sent.length = 0
+      await pass(450)
+      expect(new Set(orders())).to.deep.equal(new Set([2, 4]))
+      expect(result.answer).to.deep.equal({ kind: 'completed' })
+    })
+
     it('waits for the agents when the zone returns, which are refusing orders until they know', async () => {
       const { entry, evacuate, fleet, observed, pass, running, submit } = await setUp({ runMs: 300 })
       evacuate(A)
