Wait for a full rack by cost, and run steps with same_rack

Callers whose data is on a rack, or whose tasks form a group, saw either longer runs or, for a group, a refusal as unsupported. The dispatcher took any free worker elsewhere at once, however soon the rack had room.

The decision for each task compares the expected time until the rack has room with the longer run elsewhere and with what that takes from others. It is bounded by the job's latest start and by the cost of the longer run, and ends when the rack's capacity falls. A waiting task reserves nothing; only the rack's agents are asked for room for it.

The order of starts moves to a file of its own, unchanged.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -86,7 +86,8 @@
       if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
       measured.time(tookMs, queue.name)
     },
-    onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason)
+    onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason),
+    onRackWait: (outcome) => measured.count('mustarddeck_rack_waits_total', outcome)
   })
   const claims = jobClaims.create({
     timers,
@@ -191,7 +192,8 @@
     counters: {
       mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
       mustarddeck_refusals_total: { help: 'Answers without a result, by reason', label: 'reason' },
-      mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' }
+      mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' },
+      mustarddeck_rack_waits_total: { help: 'Waits of tasks for room on their rack, by outcome', label: 'outcome' }
     },
     gauges: {
       mustarddeck_waiting_jobs: {
--- a/packages/job-dispatcher/src/demand.ts
+++ b/packages/job-dispatcher/src/demand.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@mustarddeck/clock'
 import type * as runs from '@mustarddeck/runs'
 import type * as fleet from './agents.ts'
-import type * as jobs from './jobs.ts'
+import * as jobs from './jobs.ts'
 import type * as waitingJobs from './waiting-jobs.ts'
 
 /** Difference in ms between the sent and the current start deadline above which the agent is notified again. */
@@ -53,18 +53,29 @@
   const overstatesUrgency = (sent: SentDemand, { job, latestStart }: jobs.JobState): boolean =>
     sent.priority < job.queue.priority || latestStart > sent.startDeadline + TOLERANCE_MS
 
+  /** Jobs that wait for a rack ask its agents only, so that others offer their room to jobs that would use it. */
+  const mostUrgentFor = (worker: runs.Worker, waiting: waitingJobs.WaitingJobs): jobs.JobState | undefined => {
+    const now = timers.monotonic()
+    return waiting.mostUrgent(worker.service, (job) => jobs.mayUse(job, worker, now))
+  }
+
   return {
     announce: (agents, waiting) => {
       if (waiting.size === 0) return
+      // Many agents have workers of the same type and rack.
+      const mostUrgent = new Map<string, jobs.JobState | undefined>()
       for (const agent of agents) {
-        const job = agent.worker && !agent.worker.leaving ? waiting.mostUrgent(agent.worker.service) : undefined
+        if (!agent.worker || agent.worker.leaving) continue
+        const key = [agent.worker.service, ...agent.worker.labels].join(' ')
+        if (!mostUrgent.has(key)) mostUrgent.set(key, mostUrgentFor(agent.worker, waiting))
+        const job = mostUrgent.get(key)
         if (job && !agent.health.out && mustNotify(lastSent.get(agent.link), job)) notify(agent, job)
       }
     },
     revise: (agent, waiting) => {
       const sent = lastSent.get(agent.link)
       if (!sent || agent.free.millicores <= 0) return
-      const job = agent.worker && waiting.mostUrgent(agent.worker.service)
+      const job = agent.worker && mostUrgentFor(agent.worker, waiting)
       if (!job || overstatesUrgency(sent, job)) notify(agent, job)
     },
     forget: ({ link }) => { lastSent.delete(link) }
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -6,13 +6,17 @@
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
 import * as runEstimates from './estimates.ts'
+import * as farFactors from './far-factor.ts'
 import * as fleetCapacity from './fleet-capacity.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import * as heldJobs from './held-jobs.ts'
 import type * as interfaces from './interface.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
+import * as rackWait from './rack-wait.ts'
+import * as rackWaits from './rack-waits.ts'
 import * as reviewTimer from './review-timer.ts'
+import * as startOrders from './start-orders.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
 /** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
@@ -22,8 +26,6 @@
 const RETRY_AFTER_MS = 1000
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
 const ANSWER_MARGIN_MS = 40
-/** Maximum number of tasks in one log line; the log truncates longer values. */
-const MAX_LOGGED_TASKS = 16
 
 export interface Options {
   timers: clock.Timers
@@ -37,6 +39,14 @@
   onJobEnd (job: interfaces.Job, outcome: interfaces.Outcome, tookMs: number): void
   /** Called for each order that did not start its task. */
   onRefusedOrder (reason: string): void
+  /** Called for each wait of a task for its rack that ends. */
+  onRackWait? (outcome: rackWaits.WaitOutcome): void
+  /** Factor by which a task takes longer away from its data or its group. */
+  farFactor?: number
+  /** Decides on waits for racks; other policies are for comparisons. */
+  waitPolicy?: rackWait.Policy
+  /** Model of run times; other models are for comparisons. */
+  estimates?: runEstimates.Estimates
 }
 
 /** Tasks ordered in one pass, by agent. */
@@ -45,7 +55,9 @@
 export const create = (options: Options): interfaces.Dispatcher => {
   const { timers, log, zone, lapseAfterMs, send } = options
   const agents = fleet.create()
-  const estimates = runEstimates.create()
+  const { farFactor = farFactors.DEFAULT_FAR_FACTOR, waitPolicy: policy = new rackWait.ByCost() } = options
+  const estimates = options.estimates ?? farFactors.apply(runEstimates.create(), farFactor)
+  const waits = rackWaits.create({ timers, log, onRackWait: options.onRackWait ?? (() => {}) })
   const demandNotifier = demand.create({ timers, send })
   const byKey = new Map<runs.JobKey, jobs.JobState>()
   /** Tasks that may be on a worker, including those of ended jobs. */
@@ -58,7 +70,11 @@
   let placementScheduled = false
   let lastOrder = 0
 
-  const estimateOf = (state: jobs.TaskState): number => estimates.expectedRunMs(state.job.job.queue.name, state.task)
+  /** Place of the task's run, or of one on another agent. */
+  const placeOf = (state: jobs.TaskState, agent = state.agent, far = state.far): runEstimates.Place | undefined =>
+    agent?.worker && { worker: agent.worker, agent: agent.name, far }
+  const expectedRunMs = (state: jobs.TaskState, agent?: fleet.Agent, far?: boolean): number =>
+    estimates.expectedRunMs(state.job.job.queue.name, state.task, agent && placeOf(state, agent, far))
 
   const endJob = (state: jobs.JobState, outcome: interfaces.Outcome): void => {
     if (state.ended) return
@@ -84,6 +100,7 @@
   }
 
   const stopTask = (task: jobs.TaskState): void => {
+    waits.end(task, 'job-ended')
     if (jobs.isUnassigned(task)) task.phase = 'done'
     if (task.phase !== 'ordered') return
     task.phase = 'stopping'
@@ -124,7 +141,7 @@
     job.mayHaveStarted = true
     if (message.end === 'done') {
       recordHealth(task, agent, false, message.ranMs)
-      estimates.record(queue, task.task, message.ranMs)
+      estimates.record(queue, task.task, message.ranMs, placeOf(task, agent))
       if (job.ended) return
       task.phase = 'done'
       if (jobs.complete(job, task)) endJob(job, { kind: 'completed' })
@@ -143,12 +160,12 @@
     if (task.failures >= task.job.job.queue.maxAttempts) endJob(task.job, { kind: 'failed', task: task.task.id })
   }
 
-  const recordHealth = ({ job, task }: jobs.TaskState, agent: fleet.Agent, failed: boolean, ranMs: number): void => {
-    const queue = job.job.queue.name
+  const recordHealth = (state: jobs.TaskState, agent: fleet.Agent, failed: boolean, ranMs: number): void => {
+    const queue = state.job.job.queue.name
     const result = {
       type: queue as unknown as Parameters<typeof agents.health.peerFailureShare>[1],
       failed,
-      runMs: estimates.normalizedRunMs(task, ranMs),
+      runMs: estimates.normalizedRunMs(state.task, ranMs, placeOf(state, agent)),
       runTimes: estimates.runTimes(queue)
     }
     agent.health.running = agent.tasks.size
@@ -170,19 +187,23 @@
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
     if (candidates.every(({ free }) => free.millicores <= 0)) return
-    const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>() }
+    const situation: agentSelection.SelectionContext = {
+      ...agentSelection.createPass(timers.monotonic()), zone, candidates, policy, waits, expectedRunMs
+    }
     for (const job of [...waiting]) placeJob(job, situation, batch)
-    for (const [agent, tasks] of batch) sendOrders(agent, tasks)
+    for (const [agent, tasks] of batch) startOrders.send(options, agent, tasks)
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
-    let unplaced = 0
+    const unplaced: jobs.TaskState[] = []
     for (const task of job.tasks) {
       if (task.phase !== 'waiting') continue
-      const agent = outstanding.has(task.task.id) ? undefined : agentSelection.chooseAgent(agents, task, situation)
-      if (agent) order(task, agent, batch)
-      else unplaced++
+      const choice = outstanding.has(task.task.id) ? undefined : agentSelection.chooseAgent(agents, task, situation)
+      waits.apply(task, choice)
+      if (choice && !rackWait.isWait(choice)) order(task, choice, batch)
+      else unplaced.push(task)
     }
-    if (unplaced === 0) waiting.delete(job)
+    jobs.noteAwaitedRacks(job, unplaced)
+    if (unplaced.length === 0) waiting.delete(job)
   }
   const order = (task: jobs.TaskState, agent: fleet.Agent, batch: Batch): void => {
     const tasks = batch.get(agent)
@@ -194,27 +215,12 @@
     const orderedAt = timers.monotonic()
     Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, order: ++lastOrder, orderedAt })
     agent.tasks.set(task.task.id, task)
+    jobs.setPlace(task, agent.worker!)
     jobs.adjustPlaced(task, agent, 1)
     agents.order(agent, task.task.id, task.task.amount)
     outstanding.set(task.task.id, task)
     task.job.outstanding++
   }
-  const sendOrders = (agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
-    const bySpec = new Map<string, jobs.TaskState[]>()
-    for (const task of tasks) {
-      const spec = task.job.job.spec
-      bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
-    }
-    for (const [spec, group] of bySpec) {
-      const startOrders = group.map(({ task, order, orders }) => (
-        { task: task.id, order, run: orders, amount: task.amount }))
-      send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: startOrders })
-      for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
-        const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
-        log.info('order', { tasks: ids, agent: agent.name, freeMillicores: agent.free.millicores })
-      }
-    }
-  }
 
   const endIfLate = (job: jobs.JobState, now: number): void => {
     if (now >= job.callerDeadline - ANSWER_MARGIN_MS) {
@@ -230,7 +236,7 @@
     : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
   const reviewRun = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
-    const expectedMs = estimateOf(task)
+    const expectedMs = expectedRunMs(task, agent, task.far)
     if (ranMs <= OVERDUE_FACTOR * expectedMs + MIN_OVERDUE_MS) return
     log.warn('run-overdue', { task: task.task.id, agent: agent.name, expectedMs: Math.round(expectedMs) })
     recordHealth(task, agent, true, ranMs)
@@ -255,7 +261,7 @@
   const reviews = reviewTimer.create({ timers, review, isWaiting: () => waiting.size > 0 })
 
   const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
-    jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
+    jobs.isUnassigned(task) ? sum + task.task.amount.millicores * expectedRunMs(task) : sum, 0)
   const join = (key: runs.JobKey, answer: interfaces.Answer, callerTimeoutMs: number): boolean => {
     const job = byKey.get(key)
     if (!job) return false
@@ -330,7 +336,7 @@
       const mayRunUntil = trustedUntil + lapseAfterMs
       const waitMs = Math.round(mayRunUntil - timers.monotonic())
       const ids = [...agent.tasks.keys()]
-      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
+      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, startOrders.MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
       for (const task of agent.tasks.values()) markLost(task, mayRunUntil)
     },
     receive: (link, message) => {
--- a/packages/job-dispatcher/src/estimates.ts
+++ b/packages/job-dispatcher/src/estimates.ts
@@ -23,7 +23,7 @@
   /** Expected run time in ms at the given place, or on a typical worker near the task's data. */
   expectedRunMs (queue: interfaces.QueueName, task: interfaces.Task, place?: Place): number
   /** Run time in ms normalized to `REFERENCE_MS`, so that runs of tasks of different lengths can be compared. */
-  normalizedRunMs (task: interfaces.Task, ranMs: number): number
+  normalizedRunMs (task: interfaces.Task, ranMs: number, place?: Place): number
   runTimes (queue: interfaces.QueueName): placement.runTimes.RunTimes
   record (queue: interfaces.QueueName, task: interfaces.Task, ranMs: number, place?: Place): void
 }
--- a/packages/job-dispatcher/src/interface.ts
+++ b/packages/job-dispatcher/src/interface.ts
@@ -35,6 +35,8 @@
   after: number[]
   /** Maximum number of tasks of the step on one worker. */
   maxPerWorker: number
+  /** The tasks take longer if they run on more than one rack. */
+  sameRack?: boolean
 }
 
 /** A job whose caller waits for its outcome. */
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -1,5 +1,8 @@
+import type * as runs from '@mustarddeck/runs'
 import type * as agents from './agents.ts'
 import type * as interfaces from './interface.ts'
+import type * as rackWait from './rack-wait.ts'
+import * as racks from './racks.ts'
 
 /**
  * State of a task.
@@ -28,6 +31,14 @@
   /** Monotonic ms from which it may be placed elsewhere after all. */
   heldUntil: number
   orderedAt: number
+  /** True if its latest run is away from its data or its group. */
+  far: boolean
+  /** Set while the task waits for a rack. */
+  rackWait: rackWait.Wait | undefined
+  /** Monotonic ms after which it waits for no rack again. */
+  waitLimit: number
+  /** Key of what the task requires of a worker, whatever else its job has there. */
+  requirements: string
   /** Monotonic ms by which a lost task has certainly ended. */
   mayRunUntil: number
 }
@@ -39,11 +50,17 @@
   remaining: number[]
   /** Tasks of each step on each agent. */
   placed: Array<Map<agents.Agent, number>>
+  /** Rack of the group of each step with `sameRack`, once one of its tasks has been placed. */
+  groupRacks: Array<string | undefined>
+  /** Racks for which all its unplaced tasks wait, up to the first end of a wait; undefined if one may run anywhere. */
+  awaited: { racks: Set<string>, until: number } | undefined
   arrivedAt: number
   /** Monotonic ms at which the caller stops waiting. */
   callerDeadline: number
   /** Expected duration in ms of its longest chain of steps. */
   criticalPathMs: number
+  /** Expected duration in ms of the longest chain of steps after each step. */
+  laterPathsMs: number[]
   /** Monotonic ms by which it has to start to meet the queue's response time objective. */
   latestStart: number
   /** Whether a task of the job may have started. */
@@ -65,6 +82,19 @@
   return Math.max(0, ...ends)
 }
 
+/** Returns the duration in ms of the longest chain of steps after each step. */
+const laterPathsOf = ({ steps }: interfaces.Job, estimate: (task: interfaces.Task) => number): number[] => {
+  const later = steps.map(() => 0)
+  for (let index = steps.length - 1; index >= 0; index--) {
+    const pathMs = later[index]! + Math.max(0, ...steps[index]!.tasks.map(estimate))
+    for (const earlier of steps[index]!.after) later[earlier] = Math.max(later[earlier]!, pathMs)
+  }
+  return later
+}
+
+const requirementsOf = ({ queue }: interfaces.Job, { amount, label }: interfaces.Task): string =>
+  `${queue.service} ${amount.millicores} ${amount.memoryMb} ${amount.accelerators} ${label ?? ''}`
+
 export const create = (
   job: interfaces.Job, now: number, estimate: (task: interfaces.Task) => number,
   answer: interfaces.Answer
@@ -76,9 +106,12 @@
     tasks: [],
     remaining: job.steps.map((step) => step.tasks.length),
     placed: job.steps.map(() => new Map()),
+    groupRacks: job.steps.map(() => undefined),
+    awaited: undefined,
     arrivedAt: now,
     callerDeadline: now + job.callerTimeoutMs,
     criticalPathMs,
+    laterPathsMs: laterPathsOf(job, estimate),
     latestStart: now + Math.max(objectiveMs, criticalPathMs * (stretch - 1) + objectiveMs),
     mayHaveStarted: false,
     answers: [answer],
@@ -98,6 +131,10 @@
     heldBy: undefined,
     heldUntil: 0,
     orderedAt: 0,
+    far: false,
+    rackWait: undefined,
+    waitLimit: Infinity,
+    requirements: requirementsOf(job, task),
     mayRunUntil: 0
   })))
   return state
@@ -106,9 +143,48 @@
 /** Adjusts the number of the step's tasks on an agent. */
 export const adjustPlaced = ({ job, step }: TaskState, agent: agents.Agent, delta: 1 | -1): void => {
   const placed = job.placed[step]!
-  placed.set(agent, (placed.get(agent) ?? 0) + delta)
+  const count = (placed.get(agent) ?? 0) + delta
+  if (count > 0) placed.set(agent, count)
+  else placed.delete(agent)
+}
+
+/** True if tasks of the step are placed on a rack other than that of its group. */
+export const isSpread = ({ job, step }: TaskState): boolean => {
+  const rack = job.groupRacks[step]
+  if (rack === undefined) return false
+  for (const { worker } of job.placed[step]!.keys()) if (worker && !racks.isOn(worker, rack)) return true
+  return false
 }
 
+/** Records the place of a task that is about to run: whether it is far, and the rack of its group. */
+export const setPlace = (state: TaskState, worker: runs.Worker): void => {
+  const { job, step, task } = state
+  state.far = task.rack !== undefined && !racks.isOn(worker, task.rack)
+  const { sameRack, tasks } = job.job.steps[step]!
+  if (!sameRack) return
+  const isFirst = job.placed[step]!.size === 0 && job.remaining[step] === tasks.length
+  if (isFirst || job.groupRacks[step] === undefined) job.groupRacks[step] = racks.rackOf(worker)
+  if (racks.isOn(worker, job.groupRacks[step]!) && !isSpread(state)) return
+  state.far = true
+  for (const other of job.tasks) if (other.step === step && other.phase === 'ordered') other.far = true
+}
+
+/** Notes for which racks the unplaced tasks of the job wait. */
+export const noteAwaitedRacks = (job: JobState, unplaced: readonly TaskState[]): void => {
+  job.awaited = undefined
+  const awaited = { racks: new Set<string>(), until: Infinity }
+  for (const { rackWait: wait } of unplaced) {
+    if (!wait) return
+    awaited.racks.add(wait.rack)
+    awaited.until = Math.min(awaited.until, wait.until)
+  }
+  if (unplaced.length > 0) job.awaited = awaited
+}
+
+/** False if all unplaced tasks of the job wait for racks other than the worker's. */
+export const mayUse = ({ awaited }: JobState, worker: runs.Worker, now: number): boolean =>
+  awaited === undefined || now >= awaited.until || [...awaited.racks].some((rack) => racks.isOn(worker, rack))
+
 /** Compares jobs by the priority of their queue, then by their latest start. */
 export const compareUrgency = (left: JobState, right: JobState): number =>
   left.job.queue.priority - right.job.queue.priority || left.latestStart - right.latestStart
--- a/packages/job-dispatcher/src/testing/small-fleet.ts
+++ b/packages/job-dispatcher/src/testing/small-fleet.ts
@@ -14,7 +14,11 @@
 }
 
 /** Creates a dispatcher and agents on simulated workers, on a virtual clock. */
-export const setUp = async ({ workers = 2, slots = 3, runMs = 200, linked = true } = {}) => {
+export const setUp = async ({
+  workers = 2, slots = 3, runMs = 200, linked = true, farFactor = 1.5,
+  /** Labels of each worker; by default those of the stand-in. */
+  labels = undefined as string[][] | undefined
+} = {}) => {
   const timers = clock.createVirtual({ start: new Date(1_000_000) })
   const site = standIn.createSite()
   const log = logging.create({ level: 'error' })
@@ -40,13 +44,19 @@
     const agent = runAgent.create({
       calls: worker.calls, timers, log, send, closeExpiredLinks: () => {}, onWorkerChange: () => {}, onRunEnd: () => {}
     })
-    return { agent, link, worker }
+    const announce = (changes: Partial<runs.Worker> = {}): void => {
+      const announced = { ...worker.worker(), ...changes }
+      agent.workerAnnounced({ ...announced, labels: labels?.[index] ?? announced.labels }, undefined)
+    }
+    return { agent, announce, link, worker }
   })
   const entry = jobDispatcher.create({
     timers,
     log,
     zone: 'khangai-a',
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
+    farFactor,
+    onRackWait: (outcome) => observed.push(`wait ${outcome}`),
     send: (link, message) => {
       sent.push({ ...message, link })
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
@@ -54,10 +64,10 @@
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
     onRefusedOrder: (reason) => observed.push(`order ${reason}`)
   })
-  const linkUp = ({ agent, link, worker }: typeof fleet[number]): void => {
+  const linkUp = ({ agent, announce, link, worker }: typeof fleet[number]): void => {
     entry.agentUp(link, worker.worker().id, 'incarnation')
     agent.linkUp(0, 'entry-1')
-    agent.workerAnnounced(worker.worker(), undefined)
+    announce()
   }
   if (linked) {
     fleet.forEach(linkUp)
@@ -67,7 +77,8 @@
 
   let nextKey = 1
   const submit = ({
-    tasks = 1, callerTimeoutMs = 5000, queue = QUEUE, label = undefined as string | undefined
+    tasks = 1, callerTimeoutMs = 5000, queue = QUEUE, label = undefined as string | undefined,
+    rack = undefined as string | undefined, sameRack = false
   } = {}) => {
     const key = (nextKey++).toString(16).padStart(16, '0') as runs.JobKey
     const job: jobDispatcher.Job = {
@@ -78,8 +89,9 @@
       steps: [{
         after: [],
         maxPerWorker: Infinity,
+        sameRack,
         tasks: Array.from({ length: tasks }, (_, index) => ({
-          id: `${key}.0.0.${index}` as runs.TaskId, amount: TASK_AMOUNT, estimateMs: runMs, label, rack: undefined
+          id: `${key}.0.0.${index}` as runs.TaskId, amount: TASK_AMOUNT, estimateMs: runMs, label, rack
         }))
       }]
     }
--- a/packages/job-dispatcher/src/waiting-jobs.ts
+++ b/packages/job-dispatcher/src/waiting-jobs.ts
@@ -11,8 +11,8 @@
   /** Adds the job unless it is already waiting. */
   add (job: jobs.JobState): void
   delete (job: jobs.JobState): void
-  /** Returns the most urgent job whose tasks run on the service's workers. */
-  mostUrgent (service: interfaces.Queue['service']): jobs.JobState | undefined
+  /** Returns the most urgent accepted job whose tasks run on the service's workers. */
+  mostUrgent (service: interfaces.Queue['service'], accepts?: (job: jobs.JobState) => boolean): jobs.JobState | undefined
 }
 
 export const create = (): WaitingJobs => {
@@ -47,6 +47,7 @@
     delete: (job) => {
       if (members.delete(job)) inOrder.splice(inOrder.indexOf(job, lowerBound(job)), 1)
     },
-    mostUrgent: (service) => inOrder.find(({ job }) => job.queue.service === service)
+    mostUrgent: (service, accepts = () => true) =>
+      inOrder.find((state) => state.job.queue.service === service && accepts(state))
   }
 }
