job-dispatcher: guard two rules of waits for a rack by tests

Replacing the busy share of the rack by that of the fleet, and letting a task wait that only one agent elsewhere may get, passed all tests. With either change one of the new tests fails.

--- a/packages/job-dispatcher/src/agent-selection.test.ts
+++ b/packages/job-dispatcher/src/agent-selection.test.ts
@@ -8,6 +8,7 @@
 import * as jobs from './jobs.ts'
 import * as rackWait from './rack-wait.ts'
 import * as rackWaits from './rack-waits.ts'
+import * as racks from './racks.ts'
 
 const AMOUNT = { millicores: 1000, memoryMb: 64, accelerators: 0 }
 const CAPACITY = { millicores: 4000, memoryMb: 10_000, accelerators: 0 }
@@ -145,6 +146,27 @@
     expect([choose(second, pass), choose(other, pass)]).to.deep.equal(['wait', 'agent-0'])
   })
 
+  // Only the agent that still has an earlier run of the task may get it.
+  it('does not let a task wait that may be placed with one agent elsewhere only', () => {
+    const { choose, occupy, taskOf } = setUp([{ rack: 'r1', free: 0 }, { rack: 'r2' }])
+    occupy(0)
+    const task = Object.assign(taskOf({ rack: 'r1' }), { heldBy: 'agent-1', heldUntil: Infinity })
+    expect(choose(task)).to.equal('agent-1')
+  })
+
+  // Other entries want the room of a full rack even if the rest of the fleet is idle; callers were served later than
+  // without waits when the busy share of the fleet was used.
+  it('expects other entries to take their part of a full rack\'s room in a calm fleet', () => {
+    const { agents, occupy, timers } = setUp([{ rack: 'r1', free: 0 }, { rack: 'r2' }, { rack: 'r2' }])
+    occupy(0)
+    const roomInMs = (entryCount: number): number => {
+      agents.get(0)!.entryCount = entryCount
+      const view = racks.createView({ usable: agents.all(), now: timers.monotonic(), expectedRunMs: () => RUN_MS })
+      return view.roomInMs('r1', AMOUNT, 3, 0, RUN_MS)
+    }
+    expect([roomInMs(1), roomInMs(2)]).to.deep.equal([RUN_MS, Infinity])
+  })
+
   // Tasks that wait already will take the room that becomes free first.
   it('counts the tasks that wait for the rack already', () => {
     const { choose, createPass, occupy, taskOf } = setUp([{ rack: 'r1', free: 0 }, { rack: 'r2' }])
