job-dispatcher: count tasks placed during a wait as placed in their group

In a pass in which tasks of a group end their wait on the rack, a task of the same group that decided later still counted them as unplaced.

--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -161,6 +161,14 @@
   return wait
 }
 
+/** Counts the task as placed in its group if there is an agent for it. */
+const notePlaced = (
+  state: jobs.TaskState, context: SelectionContext, agent: fleet.Agent | undefined
+): fleet.Agent | undefined => {
+  if (agent && state.job.job.steps[state.step]!.sameRack) groupOf(state, context).unplaced--
+  return agent
+}
+
 /** Returns a wait for the rack, or an agent of it, if that is better than the agent elsewhere. */
 const preferRack = (
   agents: fleet.Agents, state: jobs.TaskState, context: SelectionContext, rack: string, elsewhere: fleet.Agent
@@ -208,7 +216,10 @@
   if (wait) {
     const end = endOfWait(agents, state, context, wait)
     // The cost of a pass doesn't grow with the tasks that wait: only the rack's own candidates are considered for them.
-    if (!end) return findBest(agents, state, context, wait.rack, true) ?? enqueue(state, context, wait)
+    if (!end) {
+      const near = findBest(agents, state, context, wait.rack, true)
+      return notePlaced(state, context, near) ?? enqueue(state, context, wait)
+    }
     context.waits.end(state, end)
   }
   if (context.unplaceable.has(state.requirements)) return undefined
@@ -219,6 +230,5 @@
     if (rackWait.isWait(onRack)) return enqueue(state, context, onRack)
     best = onRack ?? best
   }
-  if (best && state.job.job.steps[state.step]!.sameRack) groupOf(state, context).unplaced--
-  return best
+  return notePlaced(state, context, best)
 }
--- a/packages/job-dispatcher/src/rack-wait-replay.test.ts
+++ b/packages/job-dispatcher/src/rack-wait-replay.test.ts
@@ -2,7 +2,7 @@
 import * as rackWait from './rack-wait.ts'
 import * as rackReplay from './testing/rack-replay.ts'
 
-/** RACK_WAIT_TABLE=full replays all loads, factors and seeds of docs/design/rack-wait.md in about a minute. */
+/** RACK_WAIT_TABLE=full replays all loads, factors and seeds of docs/design/rack-wait.md in one to two minutes. */
 const IS_FULL = process.env['RACK_WAIT_TABLE'] === 'full'
 const SEEDS = IS_FULL ? [21, 22, 23, 24, 25, 26, 27, 28] : [21]
 const LOADS = IS_FULL ? [0.5, 0.7, 0.9, 1.1] : [0.7]
