--- a/packages/job-dispatcher/src/start-orders.ts
+++ b/packages/job-dispatcher/src/start-orders.ts
@@ -11,12 +11,14 @@
   send (link: number, message: runs.ToAgent): void
 }
 
-/** Asks the agent to start the tasks, in one message for each job specification. */
-export const send = (agent: fleet.Agent, tasks: jobs.TaskState[], { log, send }: Options): void => {
+/** Sends the orders of one placement pass to an agent, in one message for each job specification. */
+export const send = ({ log, send }: Options, agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
   const bySpec = new Map<string, jobs.TaskState[]>()
   for (const task of tasks) {
     const spec = task.job.job.spec
-    bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
+    const group = bySpec.get(spec)
+    if (group) group.push(task)
+    else bySpec.set(spec, [task])
   }
   for (const [spec, group] of bySpec) {
     const startOrders = group.map(({ task, order, orders }) => (
--- a/packages/job-dispatcher/src/testing/small-fleet.ts
+++ b/packages/job-dispatcher/src/testing/small-fleet.ts
@@ -15,7 +15,10 @@
 
 /** Creates a dispatcher and agents on simulated workers, on a virtual clock. */
 export const setUp = async ({
-  workers = 2, slots = 3, runMs = 200, linked = true, placeOf = (_index: number): Partial<runs.Worker> => ({})
+  workers = 2, slots = 3, runMs = 200, linked = true, farFactor = 1.5,
+  /** Labels of each worker; by default those of the stand-in. */
+  labels = undefined as string[][] | undefined,
+  placeOf = (_index: number): Partial<runs.Worker> => ({})
 } = {}) => {
   const timers = clock.createVirtual({ start: new Date(1_000_000) })
   const site = standIn.createSite()
@@ -42,13 +45,22 @@
     const agent = runAgent.create({
       calls: worker.calls, timers, log, send, closeExpiredLinks: () => {}, onWorkerChange: () => {}, onRunEnd: () => {}
     })
-    return { agent, link, worker, describe: (): runs.Worker => ({ ...worker.worker(), ...placeOf(index) }) }
+    const describe = (): runs.Worker => {
+      const described = { ...worker.worker(), ...placeOf(index) }
+      return { ...described, labels: labels?.[index] ?? described.labels }
+    }
+    const announce = (changes: Partial<runs.Worker> = {}): void => {
+      agent.workerAnnounced({ ...describe(), ...changes }, undefined)
+    }
+    return { agent, announce, describe, link, worker }
   })
   const entry = jobDispatcher.create({
     timers,
     log,
     zone: 'khangai-a',
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
+    farFactor,
+    onRackWait: (outcome) => observed.push(`wait ${outcome}`),
     send: (link, message) => {
       sent.push({ ...message, link })
       timers.after(LINK_MS, () => { if (!cut.has(link)) fleet[link - 1]!.agent.receive(0, message) })
@@ -56,10 +68,10 @@
     onJobEnd: (job, { kind }, tookMs) => observed.push(`${job.key} ${kind} ${Math.round(tookMs)}`),
     onRefusedOrder: (reason) => observed.push(`order ${reason}`)
   })
-  const linkUp = ({ agent, link, worker, describe }: typeof fleet[number]): void => {
+  const linkUp = ({ agent, announce, link, worker }: typeof fleet[number]): void => {
     entry.agentUp(link, worker.worker().id, 'incarnation')
     agent.linkUp(0, 'entry-1')
-    agent.workerAnnounced(describe(), undefined)
+    announce()
   }
   if (linked) {
     fleet.forEach(linkUp)
@@ -69,7 +81,8 @@
 
   let nextKey = 1
   const submit = ({
-    tasks = 1, callerTimeoutMs = 5000, queue = QUEUE, label = undefined as string | undefined
+    tasks = 1, callerTimeoutMs = 5000, queue = QUEUE, label = undefined as string | undefined,
+    rack = undefined as string | undefined, sameRack = false
   } = {}) => {
     const key = (nextKey++).toString(16).padStart(16, '0') as runs.JobKey
     const job: jobDispatcher.Job = {
@@ -80,8 +93,9 @@
       steps: [{
         after: [],
         maxPerWorker: Infinity,
+        sameRack,
         tasks: Array.from({ length: tasks }, (_, index) => ({
-          id: `${key}.0.0.${index}` as runs.TaskId, amount: TASK_AMOUNT, estimateMs: runMs, label, rack: undefined
+          id: `${key}.0.0.${index}` as runs.TaskId, amount: TASK_AMOUNT, estimateMs: runMs, label, rack
         }))
       }]
     }
