--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -1,5 +1,6 @@
 import type * as types from '@mustarddeck/types'
 import type * as runTimes from './run-times.ts'
+import * as shares from './shares.ts'
 
 /** Share of its tasks that a faulty worker is assumed to fail, in the likelihood ratio test against its peers. */
 const FAULTY_SHARE = 0.5
@@ -9,6 +10,8 @@
 const FAILURE_THRESHOLD = 8.5
 /** Failure evidence from which a worker gets only one task at a time. */
 const SUSPECT_THRESHOLD = 2.5
+/** Runs at a time on a worker with a late run: more than one, as a long task would delay the judgement. */
+const MAX_SUSPECT_RUNS = 2
 /** Logarithm of the slowdown factor that the test for slow workers detects. */
 const LOG_SLOWDOWN = Math.log(2.5)
 /** Slowness evidence above which a worker leaves rotation. */
@@ -22,22 +25,19 @@
 const URGENT_TRIAL_DELAY_MS = 10_000
 /** Largest share of workers out of rotation: if more fail, the cause is not the workers. */
 const MAX_OUT_SHARE = 1 / 3
-/** Number of outcomes after which the weight of an older one has fallen to about a third. */
-const TALLY_MEMORY = 300
 /** Prior failures and outcomes of a type on the other workers, added to those counted. */
-const PRIOR_TALLY = { failed: 0.1, ended: 5 }
-
-interface Tally {
-  ended: number
-  failed: number
-}
+const PRIOR_FAILURES = { hits: 0.1, ended: 5 }
 
 /** Health of a worker as observed by one entry. */
 export interface WorkerHealth {
   out: boolean
   failureEvidence: number
   slownessEvidence: number
-  tallies: Map<types.TaskTypeName, Tally>
+  /** A run is late, and none has ended well since: the worker gets `MAX_SUSPECT_RUNS` tasks at a time. */
+  suspect: boolean
+  tallies: shares.Tallies
+  /** Counts of runs in the long tail. */
+  tails: shares.Tallies
   /** Time in ms at which the next trial task is due, while out of rotation. */
   trialAt: number
   trialDelayMs: number
@@ -46,14 +46,26 @@
   running: number
 }
 
+/** What a run time tells about its worker. */
+export interface Slowness {
+  /** Change of the worker's evidence of slowness: the logarithm of a likelihood ratio. */
+  evidence: number
+  /** True if the run time is unusual for a worker that is well. */
+  isUnusual: boolean
+}
+
 export interface Result {
   type: types.TaskTypeName
   failed: boolean
   runMs: number
   /** Absent for a task that was not started. */
   runTimes?: runTimes.RunTimes
+  /** Takes the place of a comparison with `runTimes`. */
+  slowness?: Slowness
 }
 
+export type RotationEvent = 'worker-out' | 'worker-back'
+
 export interface Health {
   admit (worker: WorkerHealth): void
   remove (worker: WorkerHealth): void
@@ -62,7 +74,12 @@
   /** True if a trial task is due; an `urgent` task may be used only after an additional delay. */
   isTrialDue (worker: WorkerHealth, now: number, urgent?: boolean): boolean
   /** Records the outcome of a task. Returns an event if the worker left or returned to rotation. */
-  record (worker: WorkerHealth, result: Result, now: number): 'worker-out' | 'worker-back' | undefined
+  record (worker: WorkerHealth, result: Result, now: number): RotationEvent | undefined
+  /**
+   * Adds evidence apart from outcomes: of a run that goes on for too long, or a correction of earlier evidence. Returns
+   * an event if the worker left rotation.
+   */
+  revise (worker: WorkerHealth, slowness: Slowness, now: number): RotationEvent | undefined
   /** Estimated share of a type's tasks that failed on the other workers. */
   peerFailureShare (worker: WorkerHealth, type: types.TaskTypeName): number
 }
@@ -71,18 +88,20 @@
   out: false,
   failureEvidence: 0,
   slownessEvidence: 0,
+  suspect: false,
   tallies: new Map(),
+  tails: new Map(),
   trialAt: 0,
   trialDelayMs: FIRST_TRIAL_DELAY_MS,
   trialsPassed: 0,
   running: 0
 })
 
-const addToTally = (tallies: Map<types.TaskTypeName, Tally>, type: types.TaskTypeName, failed: boolean): void => {
-  const tally = tallies.get(type) ?? { ended: 0, failed: 0 }
-  tally.ended += 1 - tally.ended / TALLY_MEMORY
-  tally.failed += (failed ? 1 : 0) - tally.failed / TALLY_MEMORY
-  tallies.set(type, tally)
+const slownessOf = ({ failed, runMs, runTimes, slowness }: Result): Slowness | undefined => {
+  if (slowness || failed || !runTimes) return slowness
+  const shift = LOG_SLOWDOWN / runTimes.logDeviation()
+  const deviation = runTimes.deviation(runMs)
+  return { evidence: deviation * shift - shift * shift / 2, isUnusual: deviation > MAX_TRIAL_DEVIATION }
 }
 
 /**
@@ -91,24 +110,16 @@
  * compare within a task type, so a type that fails or is slow on all workers counts against none of them.
  */
 export const create = ({ enabled }: { enabled: boolean }): Health => {
-  const totals = new Map<types.TaskTypeName, Tally>()
+  const failures = shares.create(PRIOR_FAILURES)
   const workers = new Set<WorkerHealth>()
 
-  const peerFailureShare = ({ tallies }: WorkerHealth, type: types.TaskTypeName): number => {
-    const [total, own] = [totals.get(type), tallies.get(type)]
-    const ended = Math.max(0, (total?.ended ?? 0) - (own?.ended ?? 0))
-    const failed = Math.min(ended, Math.max(0, (total?.failed ?? 0) - (own?.failed ?? 0)))
-    return (failed + PRIOR_TALLY.failed) / (ended + PRIOR_TALLY.ended)
-  }
+  const peerFailureShare: Health['peerFailureShare'] = ({ tallies }, type) => failures.ofPeers(tallies, type)
   const addFailureEvidence = (worker: WorkerHealth, { type, failed }: Result): void => {
     const share = Math.min(0.95, Math.max(0.002, peerFailureShare(worker, type)))
     const evidence = failed ? Math.log(FAULTY_SHARE / share) : Math.log((1 - FAULTY_SHARE) / (1 - share))
     worker.failureEvidence = Math.max(0, worker.failureEvidence + Math.min(MAX_FAILURE_EVIDENCE, evidence))
   }
-  const addSlownessEvidence = (worker: WorkerHealth, { failed, runMs, runTimes }: Result): void => {
-    if (failed || !runTimes) return
-    const shift = LOG_SLOWDOWN / runTimes.logDeviation()
-    const evidence = runTimes.deviation(runMs) * shift - shift * shift / 2
+  const addSlownessEvidence = (worker: WorkerHealth, evidence: number): void => {
     worker.slownessEvidence = Math.max(0, worker.slownessEvidence + evidence)
   }
   const mayLeaveRotation = (): boolean => {
@@ -118,13 +129,14 @@
     for (const worker of workers) if (worker.out) outCount++
     return outCount + 1 <= Math.max(1, workers.size * MAX_OUT_SHARE)
   }
-  const takeOutOfRotation = (worker: WorkerHealth, now: number): 'worker-out' | undefined => {
-    if (!mayLeaveRotation()) return undefined
+  const evaluate = (worker: WorkerHealth, now: number): RotationEvent | undefined => {
+    const isFaulty = worker.failureEvidence > FAILURE_THRESHOLD || worker.slownessEvidence > SLOWNESS_THRESHOLD
+    if (!isFaulty || !mayLeaveRotation()) return undefined
     Object.assign(worker, { out: true, trialsPassed: 0, trialAt: now + worker.trialDelayMs })
     return 'worker-out'
   }
-  const evaluateTrial = (worker: WorkerHealth, { failed, runMs, runTimes }: Result, now: number): 'worker-back' | undefined => {
-    if (failed || (runTimes && runTimes.deviation(runMs) > MAX_TRIAL_DEVIATION)) {
+  const evaluateTrial = (worker: WorkerHealth, passed: boolean, now: number): RotationEvent | undefined => {
+    if (!passed) {
       worker.trialsPassed = 0
       worker.trialDelayMs = Math.min(MAX_TRIAL_DELAY_MS, worker.trialDelayMs * 2)
       worker.trialAt = now + worker.trialDelayMs
@@ -139,20 +151,28 @@
   return {
     admit: (worker) => { workers.add(worker) },
     remove: (worker) => { workers.delete(worker) },
-    accepts: ({ out, failureEvidence, running }) =>
-      !enabled || (!out && (failureEvidence < SUSPECT_THRESHOLD || running === 0)),
+    accepts: ({ out, failureEvidence, suspect, running }) => {
+      const limit = failureEvidence >= SUSPECT_THRESHOLD ? 1 : suspect ? MAX_SUSPECT_RUNS : Infinity
+      return !enabled || (!out && running < limit)
+    },
     isTrialDue: ({ out, running, trialAt }, now, urgent = false) =>
       out && running === 0 && now >= trialAt + (urgent ? URGENT_TRIAL_DELAY_MS : 0),
     record: (worker, result, now) => {
+      const slowness = slownessOf(result)
+      if (!result.failed && !slowness?.isUnusual) worker.suspect = false
       addFailureEvidence(worker, result)
-      addSlownessEvidence(worker, result)
-      addToTally(totals, result.type, result.failed)
-      addToTally(worker.tallies, result.type, result.failed)
+      if (slowness) addSlownessEvidence(worker, slowness.evidence)
+      failures.add(worker.tallies, result.type, result.failed)
       if (!enabled) return undefined
+      if (!worker.out) return evaluate(worker, now)
       // Outcomes before the trial is due belong to tasks dispatched before the worker left rotation.
-      if (worker.out) return now >= worker.trialAt ? evaluateTrial(worker, result, now) : undefined
-      const isFaulty = worker.failureEvidence > FAILURE_THRESHOLD || worker.slownessEvidence > SLOWNESS_THRESHOLD
-      return isFaulty ? takeOutOfRotation(worker, now) : undefined
+      return now >= worker.trialAt ? evaluateTrial(worker, !result.failed && !slowness?.isUnusual, now) : undefined
+    },
+    revise: (worker, { evidence, isUnusual }, now) => {
+      addSlownessEvidence(worker, evidence)
+      if (!enabled) return undefined
+      if (!worker.out) return evaluate(worker, now)
+      return isUnusual && now >= worker.trialAt ? evaluateTrial(worker, false, now) : undefined
     },
     peerFailureShare
   }
