job-dispatcher: judge workers and late runs by what is expected of the worker

Estimates use the model of run times with the factor bounds.far_x of the settings. Health, in run-health.ts, compares runs with what is expected of the type of their worker. A run that is late counts as evidence, is stopped at once where no tail is known or nothing else ends on its worker, and otherwise goes on while it or a run elsewhere can end in time. worker-out and worker-back name cause, expected and seen times; counters of rotations and late runs are new.

--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -30,6 +30,8 @@
   port: number
   seeds: string[]
   store: stores.Store
+  /** Expected run time of a task away from its data over that near it. */
+  farFactor?: number
   timers: clock.Timers
   log: log.Log
   /** Returns the number of log lines left out, by event. */
@@ -65,7 +67,7 @@
 }
 
 export const create = (options: Options): Entry => {
-  const { name, incarnation, zone, host, port, seeds, store, timers, log, leftOutLines } = options
+  const { name, incarnation, zone, host, port, seeds, store, farFactor, timers, log, leftOutLines } = options
   const address = `${host}:${port}`
   const workerUsable = new Map<number, boolean>()
   const waitingByLink = new Map<number, Record<string, number>>()
@@ -78,6 +80,7 @@
     timers,
     log,
     zone,
+    farFactor,
     lapseAfterMs: runAgent.STOPPED_AFTER_MS,
     send: (link, message) => links.send(link, message),
     onJobEnd: ({ key, queue }, outcome, tookMs) => {
@@ -86,7 +89,9 @@
       if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
       measured.time(tookMs, queue.name)
     },
-    onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason)
+    onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason),
+    onRotation: (event) => measured.count('mustarddeck_worker_rotations_total', event),
+    onLateRun: (kind) => measured.count('mustarddeck_late_runs_total', kind)
   })
   const claims = jobClaims.create({
     timers,
@@ -191,7 +196,9 @@
     counters: {
       mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
       mustarddeck_refusals_total: { help: 'Answers without a result, by reason', label: 'reason' },
-      mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' }
+      mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' },
+      mustarddeck_worker_rotations_total: { help: 'Workers that left or returned to rotation, by event', label: 'event' },
+      mustarddeck_late_runs_total: { help: 'Runs that were longer than expected, and those stopped for it, by kind', label: 'kind' }
     },
     gauges: {
       mustarddeck_waiting_jobs: {
--- a/packages/job-dispatcher/src/agents.ts
+++ b/packages/job-dispatcher/src/agents.ts
@@ -2,6 +2,9 @@
 import * as runs from '@mustarddeck/runs'
 import type * as jobs from './jobs.ts'
 
+/** Time in ms without a link after which a worker counts as gone; a restart of its machine is shorter. */
+const FORGET_AFTER_MS = 600_000
+
 /** State of an agent as known to one entry. */
 export interface Agent {
   link: number
@@ -24,10 +27,19 @@
   health: placement.health.WorkerHealth
 }
 
+interface HealthRecord {
+  bornMs: number
+  health: placement.health.WorkerHealth
+  /** Monotonic ms at which the agent's link was lost; undefined while there is one. */
+  goneAt: number | undefined
+}
+
 /** Agents by link, and the health of their workers, which is kept when a link closes. */
 export interface Agents {
   up (link: number, name: string, incarnation: string): Agent
-  down (link: number): Agent | undefined
+  down (link: number, now: number): Agent | undefined
+  /** Drops the health of workers without a link for `FORGET_AFTER_MS`, and returns their agents' names. */
+  forgetGone (now: number): string[]
   get (link: number): Agent | undefined
   all (): IterableIterator<Agent>
   /** Applies the agent's report of its worker and free capacity. */
@@ -41,7 +53,7 @@
 
 export const create = (): Agents => {
   const byLink = new Map<number, Agent>()
-  const healthByName = new Map<string, { bornMs: number, health: placement.health.WorkerHealth }>()
+  const healthByName = new Map<string, HealthRecord>()
   const health = placement.health.create({ enabled: true })
 
   const updateFree = (agent: Agent, reported: runs.Resources): void => {
@@ -53,12 +65,13 @@
     const previous = healthByName.get(agent.name)
     if (previous?.bornMs === bornMs) {
       agent.health = previous.health
+      previous.goneAt = undefined
       return
     }
     if (previous) health.remove(previous.health)
     agent.health = placement.health.createWorkerHealth()
     health.admit(agent.health)
-    healthByName.set(agent.name, { bornMs, health: agent.health })
+    healthByName.set(agent.name, { bornMs, health: agent.health, goneAt: undefined })
   }
   return {
     health,
@@ -79,11 +92,24 @@
       byLink.set(link, agent)
       return agent
     },
-    down: (link) => {
+    down: (link, now) => {
       const agent = byLink.get(link)
       byLink.delete(link)
+      const record = agent && healthByName.get(agent.name)
+      const isLinked = [...byLink.values()].some(({ name }) => name === agent?.name)
+      if (record && !isLinked) record.goneAt = now
       return agent
     },
+    forgetGone: (now) => {
+      const names: string[] = []
+      for (const [name, { goneAt, health: workerHealth }] of healthByName) {
+        if (goneAt === undefined || now - goneAt < FORGET_AFTER_MS) continue
+        health.remove(workerHealth)
+        healthByName.delete(name)
+        names.push(name)
+      }
+      return names
+    },
     get: (link) => byLink.get(link),
     all: () => byLink.values(),
     update: (agent, { worker, free, sequence, sharers }) => {
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -13,11 +13,9 @@
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
 import * as reviewTimer from './review-timer.ts'
+import * as runHealths from './run-health.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
-/** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
-const OVERDUE_FACTOR = 3
-const MIN_OVERDUE_MS = 250
 /** Time in ms after which a refused caller should retry. */
 const RETRY_AFTER_MS = 1000
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
@@ -35,8 +33,14 @@
   send (link: number, message: runs.ToAgent): void
   /** Called once for each job that ends. */
   onJobEnd (job: interfaces.Job, outcome: interfaces.Outcome, tookMs: number): void
+  /** Expected run time of a task away from its data over that near it. */
+  farFactor?: number
   /** Called for each order that did not start its task. */
   onRefusedOrder (reason: string): void
+  /** Called when a worker leaves or returns to rotation, with the event's name in the log. */
+  onRotation? (event: string): void
+  /** Called for each run that is late, and for each one that is then stopped. */
+  onLateRun? (kind: runHealths.LateRun): void
 }
 
 /** Tasks ordered in one pass, by agent. */
@@ -45,7 +49,15 @@
 export const create = (options: Options): interfaces.Dispatcher => {
   const { timers, log, zone, lapseAfterMs, send } = options
   const agents = fleet.create()
-  const estimates = runEstimates.create()
+  const estimates = runEstimates.create(options)
+  const runHealth = runHealths.create({
+    timers,
+    log,
+    agents,
+    estimates,
+    onRotation: (event) => options.onRotation?.(event),
+    onLateRun: (kind) => options.onLateRun?.(kind)
+  })
   const demandNotifier = demand.create({ timers, send })
   const byKey = new Map<runs.JobKey, jobs.JobState>()
   /** Tasks that may be on a worker, including those of ended jobs. */
@@ -67,6 +79,7 @@
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
     for (const task of state.tasks) stopTask(task)
+    runHealth.jobEnded(state)
     held.revise(state)
     const tookMs = timers.monotonic() - state.arrivedAt
     // Logged as warnings, since the log drops lines of lower levels first.
@@ -107,10 +120,9 @@
     const task = outstanding.get(message.task)
     if (!task || task.agent?.name !== agent.name || task.order !== message.order) return
     const { job } = task
-    const queue = job.job.queue.name
     releaseTask(task)
     if (message.end === 'unstarted') {
-      if (message.reason === 'unwell') recordHealth(task, agent, true, message.ranMs)
+      if (message.reason === 'unwell') runHealth.failed(task, agent, message.ranMs)
       // A run that an earlier attempt has ordered through another entry.
       if (message.reason === 'still-running' || message.reason === 'earlier-run') job.mayHaveStarted = true
       if (message.reason === 'still-running') {
@@ -123,8 +135,7 @@
     }
     job.mayHaveStarted = true
     if (message.end === 'done') {
-      recordHealth(task, agent, false, message.ranMs)
-      estimates.record(queue, task.task, message.ranMs)
+      runHealth.done(task, agent, message.ranMs)
       if (job.ended) return
       task.phase = 'done'
       if (jobs.complete(job, task)) endJob(job, { kind: 'completed' })
@@ -137,25 +148,12 @@
   }
 
   const onFailed = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
-    recordHealth(task, agent, true, ranMs)
+    runHealth.failed(task, agent, ranMs)
     task.failures++
     task.avoidedAgents.add(agent.name)
     if (task.failures >= task.job.job.queue.maxAttempts) endJob(task.job, { kind: 'failed', task: task.task.id })
   }
 
-  const recordHealth = ({ job, task }: jobs.TaskState, agent: fleet.Agent, failed: boolean, ranMs: number): void => {
-    const queue = job.job.queue.name
-    const result = {
-      type: queue as unknown as Parameters<typeof agents.health.peerFailureShare>[1],
-      failed,
-      runMs: estimates.normalizedRunMs(task, ranMs),
-      runTimes: estimates.runTimes(queue)
-    }
-    agent.health.running = agent.tasks.size
-    const event = agents.health.record(agent.health, result, timers.monotonic())
-    if (event) log.warn(event, { agent: agent.name, queue })
-  }
-
   const schedulePlacement = (): void => {
     if (placementScheduled) return
     placementScheduled = true
@@ -192,7 +190,8 @@
       batch.set(agent, [task])
     }
     const orderedAt = timers.monotonic()
-    Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, order: ++lastOrder, orderedAt })
+    const place = runEstimates.placeOf(task.task, agent.name, agent.worker!)
+    Object.assign(task, { phase: 'ordered', agent, place, orders: task.orders + 1, order: ++lastOrder, orderedAt })
     agent.tasks.set(task.task.id, task)
     jobs.adjustPlaced(task, agent, 1)
     agents.order(agent, task.task.id, task.task.amount)
@@ -229,17 +228,6 @@
     ? { kind: 'unknown', reason: 'earlier-attempt' }
     : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
-  const reviewRun = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
-    const expectedMs = estimateOf(task)
-    if (ranMs <= OVERDUE_FACTOR * expectedMs + MIN_OVERDUE_MS) return
-    log.warn('run-overdue', { task: task.task.id, agent: agent.name, expectedMs: Math.round(expectedMs) })
-    recordHealth(task, agent, true, ranMs)
-    task.avoidedAgents.add(agent.name)
-    // The run has most likely started, even if its agent can no longer report so.
-    task.job.mayHaveStarted = true
-    stopTask(task)
-  }
-
   const review = (): void => {
     const now = timers.monotonic()
     for (const job of [...byKey.values()]) endIfLate(job, now)
@@ -247,7 +235,10 @@
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
         releaseTask(task)
-      } else if (task.phase === 'ordered') reviewRun(task, task.agent!, now - task.orderedAt)
+      } else if (task.phase === 'ordered') {
+        const answerBy = task.job.callerDeadline - ANSWER_MARGIN_MS
+        if (runHealth.isOverdue(task, task.agent!, answerBy)) stopTask(task)
+      }
     }
     place()
     demandNotifier.announce(agents.all(), waiting)
@@ -270,6 +261,7 @@
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.callerTimeoutMs })
     byKey.set(job.key, state)
     held.add(state)
+    for (const step of job.steps) estimates.addStep(step.tasks)
     if (!fleetCapacity.canEverRun(agents, job)) return refuse(state, 'never-runnable')
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
     const backlog = { waiting, workOf, millicores: fleetCapacity.entryShare(agents, job.queue.service) }
@@ -324,8 +316,9 @@
       agents.up(link, name, incarnation)
     },
     agentDown: (link, trustedUntil) => {
-      const agent = agents.down(link)
+      const agent = agents.down(link, timers.monotonic())
       if (!agent) return
+      for (const name of agents.forgetGone(timers.monotonic())) estimates.forget(name)
       demandNotifier.forget(agent)
       const mayRunUntil = trustedUntil + lapseAfterMs
       const waitMs = Math.round(mayRunUntil - timers.monotonic())
--- a/packages/job-dispatcher/src/estimates.ts
+++ b/packages/job-dispatcher/src/estimates.ts
@@ -1,13 +1,12 @@
 import * as placement from '@mustarddeck/placement'
+import type * as clock from '@mustarddeck/clock'
 import type * as runs from '@mustarddeck/runs'
 import type * as interfaces from './interface.ts'
 
-/** Weight of a new measurement in a queue's moving average. */
-const LEARNING_RATE = 0.05
-/** Declared run time in ms to which measured run times are normalized. */
-const REFERENCE_MS = 300
 /** Lower bound in ms on a task's declared run time. */
 const MIN_ESTIMATE_MS = 5
+/** `far_x` of a deployment that does not set it. */
+export const DEFAULT_FAR_FACTOR = 1.5
 
 /** What the run time of a task depends on beside its queue and its declared run time. */
 export interface Place {
@@ -18,30 +17,54 @@
   far: boolean
 }
 
-/** Estimates run times from the ratio of measured to declared run times of each queue. */
+/** Estimates run times from earlier runs; see `placement.runTimeModel`. */
 export interface Estimates {
   /** Expected run time in ms at the given place, or on a typical worker near the task's data. */
   expectedRunMs (queue: interfaces.QueueName, task: interfaces.Task, place?: Place): number
-  /** Run time in ms normalized to `REFERENCE_MS`, so that runs of tasks of different lengths can be compared. */
-  normalizedRunMs (task: interfaces.Task, ranMs: number): number
-  runTimes (queue: interfaces.QueueName): placement.runTimes.RunTimes
-  record (queue: interfaces.QueueName, task: interfaces.Task, ranMs: number, place?: Place): void
+  /** The same for a worker of the place's type that is at most `maxFactor` times slower than its type. */
+  expectedOfTypeMs (queue: interfaces.QueueName, task: interfaces.Task, place: Place, maxFactor: number): number
+  deviation (
+    queue: interfaces.QueueName, task: interfaces.Task, ranMs: number, place: Place
+  ): placement.runTimeModel.Deviation
+  /** Records a run that has ended `done`. */
+  record (queue: interfaces.QueueName, task: interfaces.Task, ranMs: number, place: Place): void
+  /** Lets the runs of some tasks of a step tell about the others. */
+  addStep (tasks: readonly interfaces.Task[]): void
+  /** Takes in the runs of a step whose job has ended. */
+  endStep (tasks: readonly interfaces.Task[]): void
+  /** Forgets the worker of an agent that is gone. */
+  forget (agent: string): void
 }
 
-export const create = (): Estimates => {
-  const byQueue = new Map<interfaces.QueueName, placement.runTimes.RunTimes>()
+/** Place of a run of the task on a worker. */
+export const placeOf = (task: interfaces.Task, agent: string, worker: runs.Worker): Place =>
+  ({ worker, agent, far: task.rack !== undefined && !worker.labels.includes(task.rack) })
 
-  const runTimes = (queue: interfaces.QueueName): placement.runTimes.RunTimes => {
-    let times = byQueue.get(queue)
-    if (!times) byQueue.set(queue, times = placement.runTimes.create({ learningRate: LEARNING_RATE }))
-    return times
-  }
-  const declaredMs = (task: interfaces.Task): number => Math.max(MIN_ESTIMATE_MS, task.estimateMs)
-  const normalizedRunMs = (task: interfaces.Task, ranMs: number): number => ranMs / declaredMs(task) * REFERENCE_MS
+export const create = (
+  { timers, farFactor = DEFAULT_FAR_FACTOR }: { timers: clock.Clock, farFactor?: number }
+): Estimates => {
+  const model = placement.runTimeModel.create({ farFactor, now: () => timers.monotonic() })
+  const steps = new WeakMap<interfaces.Task, placement.runTimeModel.Step>()
+
+  const workOf = (queue: interfaces.QueueName, task: interfaces.Task): placement.runTimeModel.Work =>
+    ({ queue, declaredMs: Math.max(MIN_ESTIMATE_MS, task.estimateMs), step: steps.get(task) })
+  // The first label of a worker is the type of its machine; services may use the types differently.
+  const siteOf = ({ worker, agent, far }: Place): placement.runTimeModel.Site =>
+    ({ worker: agent, incarnation: worker.bornMs, type: `${worker.service} ${worker.labels[0] ?? ''}`, far })
   return {
-    expectedRunMs: (queue, task) => declaredMs(task) * runTimes(queue).mean() / REFERENCE_MS,
-    normalizedRunMs,
-    runTimes,
-    record: (queue, task, ranMs) => runTimes(queue).add(normalizedRunMs(task, ranMs))
+    expectedRunMs: (queue, task, place) => model.expectedMs(workOf(queue, task), place && siteOf(place)),
+    expectedOfTypeMs: (queue, task, place, maxFactor) =>
+      model.expectedOfTypeMs(workOf(queue, task), siteOf(place), maxFactor),
+    deviation: (queue, task, ranMs, place) => model.deviation(workOf(queue, task), siteOf(place), ranMs),
+    record: (queue, task, ranMs, place) => model.record(workOf(queue, task), siteOf(place), ranMs),
+    addStep: (tasks) => {
+      const step = model.createStep(tasks.length)
+      for (const task of tasks) steps.set(task, step)
+    },
+    endStep: ([task]) => {
+      const step = task && steps.get(task)
+      if (step) model.close(step)
+    },
+    forget: model.forget
   }
 }
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -1,4 +1,5 @@
 import type * as agents from './agents.ts'
+import type * as estimates from './estimates.ts'
 import type * as interfaces from './interface.ts'
 
 /**
@@ -16,6 +17,8 @@
   phase: Phase
   /** Agent that the task was last sent to. */
   agent: agents.Agent | undefined
+  /** Where it was last sent to. */
+  place: estimates.Place | undefined
   /** Number of orders sent so far; also the lowest run number of the latest one. */
   orders: number
   /** Identifies the latest order. */
@@ -91,6 +94,7 @@
     step: index,
     phase: step.after.length === 0 ? 'waiting' : 'blocked',
     agent: undefined,
+    place: undefined,
     orders: 0,
     order: 0,
     failures: 0,
