job-dispatcher: test what is logged of workers that are out, and what is forgotten

Evidence that comes after a worker was removed no longer reports that it left rotation; the test of it fails on the former commit.

--- a/packages/placement/src/health.test.ts
+++ b/packages/placement/src/health.test.ts
@@ -19,6 +19,19 @@
     expect(failAll(healthTests, onlyWorker)).to.include('worker-out')
   })
 
+  // A step may be judged after one of its workers has restarted, or is gone.
+  it('reports nothing about a removed worker by later evidence', () => {
+    const healthTests = health.create({ enabled: true })
+    // Two remain, so that the rule for the only worker does not apply.
+    const [worker, ...peers] = Array.from({ length: 3 }, health.createWorkerHealth) as [health.WorkerHealth]
+    for (const one of [worker, ...peers]) healthTests.admit(one)
+    const slowness = { evidence: 100, isUnusual: true }
+    healthTests.remove(worker)
+    expect(healthTests.revise(worker, slowness, 0)).to.equal(undefined)
+    healthTests.admit(worker)
+    expect(healthTests.revise(worker, slowness, 0)).to.equal('worker-out')
+  })
+
   // If all work is urgent, a recovered worker would otherwise never return to rotation.
   it('uses urgent work for a trial when no less urgent work arrived for a long time', () => {
     const healthTests = health.create({ enabled: true })
--- a/packages/placement/src/health.ts
+++ b/packages/placement/src/health.ts
@@ -170,7 +170,8 @@
     },
     revise: (worker, { evidence, isUnusual }, now) => {
       addSlownessEvidence(worker, evidence)
-      if (!enabled) return undefined
+      // The worker may have been removed since its run.
+      if (!enabled || !workers.has(worker)) return undefined
       if (!worker.out) return evaluate(worker, now)
       return isUnusual && now >= worker.trialAt ? evaluateTrial(worker, false, now) : undefined
     },
