--- a/packages/job-dispatcher/src/agent-selection.test.ts
+++ b/packages/job-dispatcher/src/agent-selection.test.ts
@@ -190,7 +190,7 @@
     const losses: Array<(agents: fleet.Agents) => void> = [
       (agents) => { agents.get(1)!.health.out = true },
       (agents) => { agents.get(1)!.worker!.leaving = true },
-      (agents) => { agents.down(1) }
+      (agents) => { agents.down(1, 0) }
     ]
     for (const lose of losses) {
       const { agents, choose, occupy, outcomes, taskOf } = setUp([
@@ -259,7 +259,7 @@
     const group = jobs.create({ ...job, steps }, timers.monotonic(), () => RUN_MS, () => {}).tasks
     const place = (member: jobs.TaskState, link: number): void => {
       const agent = agents.get(link)!
-      jobs.setPlace(member, agent.worker!)
+      jobs.setPlace(member, agent)
       Object.assign(member, { phase: 'ordered', agent })
       jobs.adjustPlaced(member, agent, 1)
     }
@@ -270,9 +270,9 @@
     const { group, place } = setUpGroup()
     place(group[0]!, 1)
     place(group[1]!, 2)
-    expect(group.map(({ far }) => far)).to.deep.equal([false, false, false])
+    expect(group.map(({ place }) => place?.far)).to.deep.equal([false, false, undefined])
     place(group[2]!, 0)
-    expect(group.map(({ far }) => far)).to.deep.equal([true, true, true])
+    expect(group.map(({ place }) => place?.far)).to.deep.equal([true, true, true])
   })
 
   // A retry elsewhere may have taken the group to another rack.
--- a/packages/job-dispatcher/src/agent-selection.ts
+++ b/packages/job-dispatcher/src/agent-selection.ts
@@ -102,7 +102,7 @@
     view = racks.createView({
       usable: agents.inService().filter((agent) => !agent.health.out && isUsable(agent, state)),
       now: context.now,
-      expectedRunMs: (task, agent) => context.expectedRunMs(task, agent, task.far)
+      expectedRunMs: (task, agent) => context.expectedRunMs(task, agent, task.place?.far)
     })
     context.rackViews.set(key, view)
   }
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -6,7 +6,6 @@
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
 import * as runEstimates from './estimates.ts'
-import * as farFactors from './far-factor.ts'
 import * as fleetCapacity from './fleet-capacity.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import * as heldJobs from './held-jobs.ts'
@@ -16,12 +15,10 @@
 import * as rackWait from './rack-wait.ts'
 import * as rackWaits from './rack-waits.ts'
 import * as reviewTimer from './review-timer.ts'
+import * as runHealths from './run-health.ts'
 import * as startOrders from './start-orders.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
-/** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
-const OVERDUE_FACTOR = 3
-const MIN_OVERDUE_MS = 250
 /** Time in ms after which a refused caller should retry. */
 const RETRY_AFTER_MS = 1000
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
@@ -37,16 +34,18 @@
   send (link: number, message: runs.ToAgent): void
   /** Called once for each job that ends. */
   onJobEnd (job: interfaces.Job, outcome: interfaces.Outcome, tookMs: number): void
+  /** Expected run time of a task away from its data over that near it. */
+  farFactor?: number
   /** Called for each order that did not start its task. */
   onRefusedOrder (reason: string): void
   /** Called for each wait of a task for its rack that ends. */
   onRackWait? (outcome: rackWaits.WaitOutcome): void
-  /** Factor by which a task takes longer away from its data or its group. */
-  farFactor?: number
   /** Decides on waits for racks; other policies are for comparisons. */
   waitPolicy?: rackWait.Policy
-  /** Model of run times; other models are for comparisons. */
-  estimates?: runEstimates.Estimates
+  /** Called when a worker leaves or returns to rotation, with the event's name in the log. */
+  onRotation? (event: string): void
+  /** Called for each run that is late, and for each one that is then stopped. */
+  onLateRun? (kind: runHealths.LateRun): void
 }
 
 /** Tasks ordered in one pass, by agent. */
@@ -55,9 +54,17 @@
 export const create = (options: Options): interfaces.Dispatcher => {
   const { timers, log, zone, lapseAfterMs, send } = options
   const agents = fleet.create()
-  const { farFactor = farFactors.DEFAULT_FAR_FACTOR, waitPolicy: policy = new rackWait.ByCost() } = options
-  const estimates = options.estimates ?? farFactors.apply(runEstimates.create(), farFactor)
+  const { waitPolicy: policy = new rackWait.ByCost() } = options
   const waits = rackWaits.create({ timers, log, onRackWait: options.onRackWait ?? (() => {}) })
+  const estimates = runEstimates.create(options)
+  const runHealth = runHealths.create({
+    timers,
+    log,
+    agents,
+    estimates,
+    onRotation: (event) => options.onRotation?.(event),
+    onLateRun: (kind) => options.onLateRun?.(kind)
+  })
   const demandNotifier = demand.create({ timers, send })
   const byKey = new Map<runs.JobKey, jobs.JobState>()
   /** Tasks that may be on a worker, including those of ended jobs. */
@@ -72,11 +79,11 @@
   let mustReassess = false
   let lastOrder = 0
 
-  /** Place of the task's run, or of one on another agent. */
-  const placeOf = (state: jobs.TaskState, agent = state.agent, far = state.far): runEstimates.Place | undefined =>
-    agent?.worker && { worker: agent.worker, agent: agent.name, far }
-  const expectedRunMs = (state: jobs.TaskState, agent?: fleet.Agent, far?: boolean): number =>
-    estimates.expectedRunMs(state.job.job.queue.name, state.task, agent && placeOf(state, agent, far))
+  /** Expected run time on the agent's worker, or on a typical one near the task's data. */
+  const expectedRunMs = ({ job, task }: jobs.TaskState, agent?: fleet.Agent, far = false): number => {
+    const place = agent?.worker && { worker: agent.worker, agent: agent.name, far }
+    return estimates.expectedRunMs(job.job.queue.name, task, place)
+  }
 
   const endJob = (state: jobs.JobState, outcome: interfaces.Outcome): void => {
     if (state.ended) return
@@ -85,6 +92,7 @@
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
     for (const task of state.tasks) stopTask(task)
+    runHealth.jobEnded(state)
     held.revise(state)
     const tookMs = timers.monotonic() - state.arrivedAt
     // Logged as warnings, since the log drops lines of lower levels first.
@@ -126,10 +134,9 @@
     const task = outstanding.get(message.task)
     if (!task || task.agent?.name !== agent.name || task.order !== message.order) return
     const { job } = task
-    const queue = job.job.queue.name
     releaseTask(task)
     if (message.end === 'unstarted') {
-      if (message.reason === 'unwell') recordHealth(task, agent, true, message.ranMs)
+      if (message.reason === 'unwell') runHealth.failed(task, agent, message.ranMs)
       // A run that an earlier attempt has ordered through another entry.
       if (message.reason === 'still-running' || message.reason === 'earlier-run') job.mayHaveStarted = true
       if (message.reason === 'still-running') {
@@ -145,8 +152,7 @@
     }
     job.mayHaveStarted = true
     if (message.end === 'done') {
-      recordHealth(task, agent, false, message.ranMs)
-      estimates.record(queue, task.task, message.ranMs, placeOf(task, agent))
+      runHealth.done(task, agent, message.ranMs)
       if (job.ended) return
       task.phase = 'done'
       if (jobs.complete(job, task)) endJob(job, { kind: 'completed' })
@@ -159,25 +165,12 @@
   }
 
   const onFailed = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
-    recordHealth(task, agent, true, ranMs)
+    runHealth.failed(task, agent, ranMs)
     task.failures++
     task.avoidedAgents.add(agent.name)
     if (task.failures >= task.job.job.queue.maxAttempts) endJob(task.job, { kind: 'failed', task: task.task.id })
   }
 
-  const recordHealth = (state: jobs.TaskState, agent: fleet.Agent, failed: boolean, ranMs: number): void => {
-    const queue = state.job.job.queue.name
-    const result = {
-      type: queue as unknown as Parameters<typeof agents.health.peerFailureShare>[1],
-      failed,
-      runMs: estimates.normalizedRunMs(state.task, ranMs, placeOf(state, agent)),
-      runTimes: estimates.runTimes(queue)
-    }
-    agent.health.running = agent.tasks.size
-    const event = agents.health.record(agent.health, result, timers.monotonic())
-    if (event) log.warn(event, { agent: agent.name, queue })
-  }
-
   const schedulePlacement = (): void => {
     if (placementScheduled) return
     placementScheduled = true
@@ -234,7 +227,7 @@
     const orderedAt = timers.monotonic()
     Object.assign(task, { phase: 'ordered', agent, orders: task.orders + 1, order: ++lastOrder, orderedAt })
     agent.tasks.set(task.task.id, task)
-    jobs.setPlace(task, agent.worker!)
+    jobs.setPlace(task, agent)
     jobs.adjustPlaced(task, agent, 1)
     agents.order(agent, task.task.id, task.task.amount)
     outstanding.set(task.task.id, task)
@@ -254,17 +247,6 @@
     ? { kind: 'unknown', reason: 'earlier-attempt' }
     : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
 
-  const reviewRun = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
-    const expectedMs = expectedRunMs(task, agent, task.far)
-    if (ranMs <= OVERDUE_FACTOR * expectedMs + MIN_OVERDUE_MS) return
-    log.warn('run-overdue', { task: task.task.id, agent: agent.name, expectedMs: Math.round(expectedMs) })
-    recordHealth(task, agent, true, ranMs)
-    task.avoidedAgents.add(agent.name)
-    // The run has most likely started, even if its agent can no longer report so.
-    task.job.mayHaveStarted = true
-    stopTask(task)
-  }
-
   const review = (): void => {
     const now = timers.monotonic()
     if (mustReassess) reassess()
@@ -273,7 +255,10 @@
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
         releaseTask(task)
-      } else if (task.phase === 'ordered') reviewRun(task, task.agent!, now - task.orderedAt)
+      } else if (task.phase === 'ordered') {
+        const answerBy = task.job.callerDeadline - ANSWER_MARGIN_MS
+        if (runHealth.isOverdue(task, task.agent!, answerBy)) stopTask(task)
+      }
     }
     place()
     demandNotifier.announce(agents.inService(), waiting)
@@ -298,6 +283,7 @@
     log.info('job', { job: job.key, queue: job.queue.name, tasks: state.tasks.length, patienceMs: job.callerTimeoutMs })
     byKey.set(job.key, state)
     held.add(state)
+    for (const step of job.steps) estimates.addStep(step.tasks)
     const limits = fleetCapacity.createLimits(agents)
     const limit = limits.ofJob(job)
     if (limit === 'never-runnable' || (limit && !discovery.isIncomplete())) return refuse(state, limit)
@@ -356,8 +342,9 @@
       agents.up(link, name, incarnation)
     },
     agentDown: (link, trustedUntil) => {
-      const agent = agents.down(link)
+      const agent = agents.down(link, timers.monotonic())
       if (!agent) return
+      for (const name of agents.forgetGone(timers.monotonic())) estimates.forget(name)
       demandNotifier.forget(agent)
       const mayRunUntil = trustedUntil + lapseAfterMs
       const waitMs = Math.round(mayRunUntil - timers.monotonic())
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -1,5 +1,6 @@
 import type * as runs from '@mustarddeck/runs'
 import type * as agents from './agents.ts'
+import * as estimates from './estimates.ts'
 import type * as interfaces from './interface.ts'
 import type * as rackWait from './rack-wait.ts'
 import * as racks from './racks.ts'
@@ -19,6 +20,8 @@
   phase: Phase
   /** Agent that the task was last sent to. */
   agent: agents.Agent | undefined
+  /** Where it was last sent to. */
+  place: estimates.Place | undefined
   /** Number of orders sent so far; also the lowest run number of the latest one. */
   orders: number
   /** Identifies the latest order. */
@@ -31,8 +34,6 @@
   /** Monotonic ms from which it may be placed elsewhere after all. */
   heldUntil: number
   orderedAt: number
-  /** True if its latest run is away from its data or its group. */
-  far: boolean
   /** Set while the task waits for a rack. */
   rackWait: rackWait.Wait | undefined
   /** Monotonic ms after which it waits for no rack again. */
@@ -124,6 +125,7 @@
     step: index,
     phase: step.after.length === 0 ? 'waiting' : 'blocked',
     agent: undefined,
+    place: undefined,
     orders: 0,
     order: 0,
     failures: 0,
@@ -131,7 +133,6 @@
     heldBy: undefined,
     heldUntil: 0,
     orderedAt: 0,
-    far: false,
     rackWait: undefined,
     waitLimit: Infinity,
     requirements: requirementsOf(job, task),
@@ -158,17 +159,18 @@
   return false
 }
 
-/** Records the place of a task that is about to run: whether it is far, and the rack of its group. */
-export const setPlace = (state: TaskState, worker: runs.Worker): void => {
+/** Records the place of a task that is about to run on the agent's worker, and the rack of its group. */
+export const setPlace = (state: TaskState, { name, worker }: agents.Agent): void => {
   const { job, step, task } = state
-  state.far = task.rack !== undefined && !racks.isOn(worker, task.rack)
+  state.place = estimates.placeOf(task, name, worker!)
   const { sameRack, tasks } = job.job.steps[step]!
   if (!sameRack) return
   const isFirst = job.placed[step]!.size === 0 && job.remaining[step] === tasks.length
-  if (isFirst || job.groupRacks[step] === undefined) job.groupRacks[step] = racks.rackOf(worker)
-  if (racks.isOn(worker, job.groupRacks[step]!) && !isSpread(state)) return
-  state.far = true
-  for (const other of job.tasks) if (other.step === step && other.phase === 'ordered') other.far = true
+  if (isFirst || job.groupRacks[step] === undefined) job.groupRacks[step] = racks.rackOf(worker!)
+  if (racks.isOn(worker!, job.groupRacks[step]!) && !isSpread(state)) return
+  for (const other of job.tasks) {
+    if (other.place && (other === state || (other.step === step && other.phase === 'ordered'))) other.place.far = true
+  }
 }
 
 /** Notes for which racks the unplaced tasks of the job wait. */
--- a/packages/job-dispatcher/src/testing/rack-replay.ts
+++ b/packages/job-dispatcher/src/testing/rack-replay.ts
@@ -4,7 +4,6 @@
 import * as runAgent from '@mustarddeck/run-agent'
 import type * as runs from '@mustarddeck/runs'
 import * as standIn from '@mustarddeck/worker-stand-in'
-import * as runEstimates from '../estimates.ts'
 import * as fleetDiscovery from '../fleet-discovery.ts'
 import * as jobDispatcher from '../index.ts'
 import type * as rackWait from '../rack-wait.ts'
@@ -91,19 +90,6 @@
   }
 }
 
-/** Model of run times that knows the speed of a worker's type and the far factor. */
-const modelOf = (speedOf: (worker: runs.Worker) => number, farFactor: number): runEstimates.Estimates => {
-  const model = runEstimates.create()
-  const factorAt = (place: runEstimates.Place | undefined): number =>
-    place ? (place.far ? farFactor : 1) / speedOf(place.worker) : 1
-  return {
-    ...model,
-    expectedRunMs: (queue, task, place) => model.expectedRunMs(queue, task) * factorAt(place),
-    normalizedRunMs: (task, ranMs, place) => model.normalizedRunMs(task, ranMs) / factorAt(place),
-    record: (queue, task, ranMs, place) => model.record(queue, task, ranMs / factorAt(place))
-  }
-}
-
 /** Replays seeded arrivals at `load` times the capacity on real entries and agents with simulated workers. */
 export const replay = async (options: Options): Promise<Result> => {
   const { seed, load, farFactor, durationMs, policy, speeds = [1, 1], withTail = false, withRacks = true } = options
@@ -145,7 +131,6 @@
     const labels = [`type-${type}`, rack]
     return { agent, worker, labels }
   })
-  const speedOf = (worker: runs.Worker): number => speeds[worker.labels[0] === 'type-1' ? 1 : 0]
   const entries = Array.from({ length: ENTRIES }, (_, index) => jobDispatcher.create({
     timers,
     log,
@@ -153,7 +138,6 @@
     lapseAfterMs: runAgent.LAPSE_AFTER_MS,
     farFactor,
     ...(policy && { waitPolicy: policy }),
-    estimates: modelOf(speedOf, farFactor),
     send: (link, message) => {
       if (message.kind === 'start') startMessages.count++
       timers.after(LINK_MS, () => workers[link]!.agent.receive(index, message))
