Admit jobs by a forecast of free capacity, and spread the retry times

Callers saw: in bursts, jobs of the most urgent queues were late although less urgent ones were refused by the hundred, and after a burst all refused callers came back after 1 s and made a second one.

Cause: admission divided the waiting work by the entry's share, once, at arrival; it ignored running work, use by other entries and the caller's deadline. Long tasks took all capacity, and jobs started in part. Retry-After was always 1 s. Each arrival copied and sorted all waiting jobs.

Change: a forecast of the capacity that becomes free for this entry, a plan of the waiting jobs on it (at most once in 20 ms, and when capacity falls or more urgent jobs come), all-or-nothing starts with headroom for more urgent work, floors for sizes and queues, late jobs on idle capacity, and retry times from the backlog and from what was promised before. A refusal logs its inputs.

--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -12,18 +12,14 @@
 import type * as interfaces from './interface.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
+import * as orderMessages from './order-messages.ts'
+import * as retryTimes from './retry-times.ts'
 import * as reviewTimer from './review-timer.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
 /** A run counts as hung after this multiple of its expected run time plus `MIN_OVERDUE_MS`. */
 const OVERDUE_FACTOR = 3
 const MIN_OVERDUE_MS = 250
-/** Time in ms after which a refused caller should retry. */
-const RETRY_AFTER_MS = 1000
-/** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
-const ANSWER_MARGIN_MS = 40
-/** Maximum number of tasks in one log line; the log truncates longer values. */
-const MAX_LOGGED_TASKS = 16
 
 export interface Options {
   timers: clock.Timers
@@ -37,6 +33,12 @@
   onJobEnd (job: interfaces.Job, outcome: interfaces.Outcome, tookMs: number): void
   /** Called for each order that did not start its task. */
   onRefusedOrder (reason: string): void
+  /** Creates the admission policy; the default one unless given. */
+  /** Called for each job that admission refuses. */
+  onRefusal? (cause: admission.Cause): void
+  /** Admission policy and retry times; the default ones unless given. */
+  admission? (view: admission.View): admission.Admission
+  retryTimes?: retryTimes.RetryTimes
 }
 
 /** Tasks ordered in one pass, by agent. */
@@ -54,15 +56,20 @@
   const begun = begunJobs.create()
   const held = heldJobs.create()
   const discovery = fleetDiscovery.create(timers)
+  const retries = options.retryTimes ?? retryTimes.create()
+  const admissions = (options.admission ?? admission.create)({
+    agents, estimates, waiting, knowsFleet: () => !discovery.isIncomplete()
+  })
   let drainDeadline: number | undefined
   let placementScheduled = false
   let lastOrder = 0
 
   const estimateOf = (state: jobs.TaskState): number => estimates.expectedRunMs(state.job.job.queue.name, state.task)
 
-  const endJob = (state: jobs.JobState, outcome: interfaces.Outcome): void => {
+  const endJob = (state: jobs.JobState, outcome: interfaces.Outcome, inputs?: admission.Inputs): void => {
     if (state.ended) return
     state.ended = true
+    admissions.ended(state, outcome.kind !== 'not-run' && outcome.kind !== 'unknown', timers.monotonic())
     if (jobs.hasBegun(state)) begun.add(state.job.key)
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
@@ -77,7 +84,9 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       tookMs: Math.round(tookMs),
-      tasks: state.tasks.length
+      tasks: state.tasks.length,
+      ...inputs,
+      retryAfterMs: 'retryAfterMs' in outcome ? Math.round(outcome.retryAfterMs) : undefined
     })
     options.onJobEnd(state.job, outcome, tookMs)
     for (const answer of state.answers.splice(0)) answer(outcome)
@@ -164,15 +173,16 @@
       place()
     })
   }
-  /** Places waiting tasks on the given agent or on any, the most urgent jobs first. */
-  const place = (onlyAgent?: fleet.Agent): void => {
+  /** Places tasks of the members (by default all waiting jobs), the most urgent first, on the given agent or on any. */
+  const place = (onlyAgent?: fleet.Agent, members: Iterable<jobs.JobState> = waiting): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : [...agents.all()].filter(({ free }) => free.millicores > 0)
     if (candidates.every(({ free }) => free.millicores <= 0)) return
     const situation = { zone, now: timers.monotonic(), candidates, unplaceable: new Set<string>() }
-    for (const job of [...waiting]) placeJob(job, situation, batch)
-    for (const [agent, tasks] of batch) sendOrders(agent, tasks)
+    const gate = admissions.gate(timers.monotonic())
+    for (const job of [...members]) if (gate.mayStart(job)) placeJob(job, situation, batch)
+    for (const [agent, tasks] of batch) orderMessages.send(options, agent, tasks)
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
     let unplaced = 0
@@ -199,35 +209,26 @@
     outstanding.set(task.task.id, task)
     task.job.outstanding++
   }
-  const sendOrders = (agent: fleet.Agent, tasks: jobs.TaskState[]): void => {
-    const bySpec = new Map<string, jobs.TaskState[]>()
-    for (const task of tasks) {
-      const spec = task.job.job.spec
-      bySpec.set(spec, [...bySpec.get(spec) ?? [], task])
-    }
-    for (const [spec, group] of bySpec) {
-      const startOrders = group.map(({ task, order, orders }) => (
-        { task: task.id, order, run: orders, amount: task.amount }))
-      send(agent.link, { kind: 'start', sequence: agent.sequence, spec, tasks: startOrders })
-      for (let from = 0; from < group.length; from += MAX_LOGGED_TASKS) {
-        const ids = group.slice(from, from + MAX_LOGGED_TASKS).map(({ task }) => task.id).join(',')
-        log.info('order', { tasks: ids, agent: agent.name, freeMillicores: agent.free.millicores })
-      }
-    }
+  const endIfUnanswerable = (job: jobs.JobState, now: number): void => {
+    if (now < job.callerDeadline - jobs.ANSWER_MARGIN_MS) return
+    if (jobs.hasBegun(job)) endJob(job, { kind: 'unknown', reason: 'patience' })
+    else refuseForOverload([admissions.expired(job, now)])
   }
-
-  const endIfLate = (job: jobs.JobState, now: number): void => {
-    if (now >= job.callerDeadline - ANSWER_MARGIN_MS) {
-      return jobs.hasBegun(job) ? endJob(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
+  const refuse = (
+    job: jobs.JobState, reason: interfaces.NotRunReason, retryAfterMs = retryTimes.MIN_MS, inputs?: admission.Inputs
+  ): void => endJob(job, begun.has(job.job.key)
+    ? { kind: 'unknown', reason: 'earlier-attempt' }
+    : { kind: 'not-run', reason, retryAfterMs }, inputs)
+  const refuseForOverload = (refusals: admission.Refusal[]): void => {
+    for (const { job, inputs } of refusals) {
+      if (job.ended) continue
+      options.onRefusal?.(inputs.cause)
+      const retryAfterMs = retries.next(job, inputs.shareMillicores, inputs.backlogMs, timers.monotonic())
+      refuse(job, 'overload', retryAfterMs, inputs)
     }
-    if (now > job.latestStart && !jobs.hasBegun(job) && !mayStillBeServed(job, now)) refuse(job, 'overload')
   }
-  /** While agents are about to link, a job may start late as long as its caller still waits for the result. */
-  const mayStillBeServed = ({ callerDeadline, criticalPathMs }: jobs.JobState, now: number): boolean =>
-    discovery.isIncomplete() && now + criticalPathMs < callerDeadline - ANSWER_MARGIN_MS
-  const refuse = (job: jobs.JobState, reason: interfaces.NotRunReason): void => endJob(job, begun.has(job.job.key)
-    ? { kind: 'unknown', reason: 'earlier-attempt' }
-    : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
+  /** Judges the waiting jobs again; called whenever usable capacity has fallen. */
+  const reassess = (): void => refuseForOverload(admissions.reassess(timers.monotonic()))
 
   const reviewRun = (task: jobs.TaskState, agent: fleet.Agent, ranMs: number): void => {
     const expectedMs = estimateOf(task)
@@ -242,7 +243,8 @@
 
   const review = (): void => {
     const now = timers.monotonic()
-    for (const job of [...byKey.values()]) endIfLate(job, now)
+    for (const job of [...byKey.values()]) endIfUnanswerable(job, now)
+    refuseForOverload(admissions.review(now))
     for (const task of [...outstanding.values()]) {
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
@@ -254,8 +256,6 @@
   }
   const reviews = reviewTimer.create({ timers, review, isWaiting: () => waiting.size > 0 })
 
-  const workOf = (job: jobs.JobState): number => job.tasks.reduce((sum, task) =>
-    jobs.isUnassigned(task) ? sum + task.task.amount.millicores * estimateOf(task) : sum, 0)
   const join = (key: runs.JobKey, answer: interfaces.Answer, callerTimeoutMs: number): boolean => {
     const job = byKey.get(key)
     if (!job) return false
@@ -272,12 +272,10 @@
     held.add(state)
     if (!fleetCapacity.canEverRun(agents, job)) return refuse(state, 'never-runnable')
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
-    const backlog = { waiting, workOf, millicores: fleetCapacity.entryShare(agents, job.queue.service) }
-    const refused = discovery.isIncomplete() ? [] : admission.selectRefused(state, backlog, now)
-    for (const job of refused) refuse(job, 'overload')
+    refuseForOverload(admissions.admit(state, now))
     if (state.ended) return
-    waiting.add(state)
-    place()
+    // Waiting jobs could not use the present capacity when it became free.
+    place(undefined, [state])
     reviews.hasten()
   }
 
@@ -330,14 +328,17 @@
       const mayRunUntil = trustedUntil + lapseAfterMs
       const waitMs = Math.round(mayRunUntil - timers.monotonic())
       const ids = [...agent.tasks.keys()]
-      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
+      if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, orderMessages.MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
       for (const task of agent.tasks.values()) markLost(task, mayRunUntil)
+      reassess()
     },
     receive: (link, message) => {
       const agent = agents.get(link)
       if (!agent) return
       if (message.kind === 'room') {
+        const wasUsable = agent.worker?.leaving === false
         agents.update(agent, message)
+        if (wasUsable && agent.worker?.leaving !== false) reassess()
         if (message.worker && !agent.hasReportedWorker) releaseFormerIncarnation(agent)
         agent.hasReportedWorker ||= message.worker !== undefined
         place(agent)
@@ -350,8 +351,9 @@
       for (const job of [...byKey.values()]) {
         job.callerDeadline -= uncountedMs
         job.latestStart -= uncountedMs
-        endIfLate(job, now)
+        endIfUnanswerable(job, now)
       }
+      reassess()
     },
     drain: (remainingMs) => { drainDeadline = timers.monotonic() + remainingMs },
     leave: () => {
