--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -86,6 +86,7 @@
       if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
       measured.time(tookMs, queue.name)
     },
+    onRefusal: (cause) => measured.count('mustarddeck_admission_refusals_total', cause),
     onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason)
   })
   const claims = jobClaims.create({
@@ -191,6 +192,7 @@
     counters: {
       mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
       mustarddeck_refusals_total: { help: 'Answers without a result, by reason', label: 'reason' },
+      mustarddeck_admission_refusals_total: { help: 'Jobs refused for overload, by cause', label: 'cause' },
       mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' }
     },
     gauges: {
