--- a/packages/fleet/src/entry.ts
+++ b/packages/fleet/src/entry.ts
@@ -89,6 +89,7 @@
       if ('reason' in outcome) measured.count('mustarddeck_refusals_total', outcome.reason)
       measured.time(tookMs, queue.name)
     },
+    onRefusal: (cause) => measured.count('mustarddeck_admission_refusals_total', cause),
     onRefusedOrder: (reason) => measured.count('mustarddeck_refused_orders_total', reason),
     onRackWait: (outcome) => measured.count('mustarddeck_rack_waits_total', outcome),
     onRotation: (event) => measured.count('mustarddeck_worker_rotations_total', event),
@@ -198,6 +199,7 @@
     counters: {
       mustarddeck_jobs_ended_total: { help: 'Jobs that ended, by outcome', label: 'outcome' },
       mustarddeck_refusals_total: { help: 'Answers without a result, by reason', label: 'reason' },
+      mustarddeck_admission_refusals_total: { help: 'Jobs refused for overload, by cause', label: 'cause' },
       mustarddeck_refused_orders_total: { help: 'Orders after which the task was not started, by reason', label: 'reason' },
       mustarddeck_rack_waits_total: { help: 'Waits of tasks for room on their rack, by outcome', label: 'outcome' },
       mustarddeck_worker_rotations_total: { help: 'Workers that left or returned to rotation, by event', label: 'event' },
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -14,16 +14,12 @@
 import * as demand from './demand.ts'
 import * as rackWait from './rack-wait.ts'
 import * as rackWaits from './rack-waits.ts'
+import * as retryTimes from './retry-times.ts'
 import * as reviewTimer from './review-timer.ts'
 import * as runHealths from './run-health.ts'
 import * as startOrders from './start-orders.ts'
 import * as waitingJobs from './waiting-jobs.ts'
 
-/** Time in ms after which a refused caller should retry. */
-const RETRY_AFTER_MS = 1000
-/** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
-const ANSWER_MARGIN_MS = 40
-
 export interface Options {
   timers: clock.Timers
   log: log.Log
@@ -46,6 +42,11 @@
   onRotation? (event: string): void
   /** Called for each run that is late, and for each one that is then stopped. */
   onLateRun? (kind: runHealths.LateRun): void
+  /** Called for each job that admission refuses. */
+  onRefusal? (cause: admission.Cause): void
+  /** Admission policy and retry times; the default ones unless given. */
+  admission? (view: admission.View): admission.Admission
+  retryTimes?: retryTimes.RetryTimes
 }
 
 /** Tasks ordered in one pass, by agent. */
@@ -73,6 +74,10 @@
   const begun = begunJobs.create()
   const held = heldJobs.create()
   const discovery = fleetDiscovery.create(timers)
+  const retries = options.retryTimes ?? retryTimes.create()
+  const admissions = (options.admission ?? admission.create)({
+    agents, estimates, waiting, knowsFleet: () => !discovery.isIncomplete()
+  })
   let drainDeadline: number | undefined
   let placementScheduled = false
   /** True if jobs may be waiting that fit only workers in evacuated zones. */
@@ -85,9 +90,10 @@
     return estimates.expectedRunMs(job.job.queue.name, task, place)
   }
 
-  const endJob = (state: jobs.JobState, outcome: interfaces.Outcome): void => {
+  const endJob = (state: jobs.JobState, outcome: interfaces.Outcome, inputs?: admission.Inputs): void => {
     if (state.ended) return
     state.ended = true
+    admissions.ended(state, outcome.kind !== 'not-run' && outcome.kind !== 'unknown', timers.monotonic())
     if (jobs.hasBegun(state)) begun.add(state.job.key)
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
@@ -103,7 +109,9 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       tookMs: Math.round(tookMs),
-      tasks: state.tasks.length
+      tasks: state.tasks.length,
+      ...inputs,
+      retryAfterMs: 'retryAfterMs' in outcome ? Math.round(outcome.retryAfterMs) : undefined
     })
     options.onJobEnd(state.job, outcome, tookMs)
     for (const answer of state.answers.splice(0)) answer(outcome)
@@ -176,7 +184,7 @@
     placementScheduled = true
     timers.after(0, () => {
       placementScheduled = false
-      if (mustReassess) reassess()
+      if (mustReassess) refuseEvacuated()
       place()
     })
   }
@@ -185,16 +193,17 @@
     schedulePlacement()
   }
   /** Refuses the jobs that have not begun and fit only evacuated workers, once the agents of others have linked. */
-  const reassess = (): void => {
+  const refuseEvacuated = (): void => {
     mustReassess = discovery.isIncomplete()
     if (mustReassess) return
     const limits = fleetCapacity.createLimits(agents)
     for (const job of [...byKey.values()]) {
       if (!jobs.hasBegun(job) && limits.ofJob(job.job) === 'evacuated') refuse(job, 'evacuated')
     }
+    reassess()
   }
-  /** Places waiting tasks on the given agent or on any, the most urgent jobs first. */
-  const place = (onlyAgent?: fleet.Agent): void => {
+  /** Places tasks of the members (by default all waiting jobs), the most urgent first, on the given agent or on any. */
+  const place = (onlyAgent?: fleet.Agent, members: Iterable<jobs.JobState> = waiting): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : agents.inService().filter(({ free }) => free.millicores > 0)
@@ -202,7 +211,8 @@
     const situation: agentSelection.SelectionContext = {
       ...agentSelection.createPass(timers.monotonic()), zone, candidates, policy, waits, expectedRunMs
     }
-    for (const job of [...waiting]) placeJob(job, situation, batch)
+    const gate = admissions.gate(timers.monotonic())
+    for (const job of [...members]) if (gate.mayStart(job)) placeJob(job, situation, batch)
     for (const [agent, tasks] of batch) startOrders.send(options, agent, tasks)
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
@@ -233,30 +243,38 @@
     outstanding.set(task.task.id, task)
     task.job.outstanding++
   }
-
-  const endIfLate = (job: jobs.JobState, now: number): void => {
-    if (now >= job.callerDeadline - ANSWER_MARGIN_MS) {
-      return jobs.hasBegun(job) ? endJob(job, { kind: 'unknown', reason: 'patience' }) : refuse(job, 'overload')
-    }
-    if (now > job.latestStart && !jobs.hasBegun(job) && !mayStillBeServed(job, now)) refuse(job, 'overload')
+  const endIfUnanswerable = (job: jobs.JobState, now: number): void => {
+    if (now < job.callerDeadline - jobs.ANSWER_MARGIN_MS) return
+    if (jobs.hasBegun(job)) endJob(job, { kind: 'unknown', reason: 'patience' })
+    else refuseForOverload([admissions.expired(job, now)])
   }
-  /** While agents are about to link, a job may start late as long as its caller still waits for the result. */
-  const mayStillBeServed = ({ callerDeadline, criticalPathMs }: jobs.JobState, now: number): boolean =>
-    discovery.isIncomplete() && now + criticalPathMs < callerDeadline - ANSWER_MARGIN_MS
-  const refuse = (job: jobs.JobState, reason: interfaces.NotRunReason): void => endJob(job, begun.has(job.job.key)
+  const refuse = (
+    job: jobs.JobState, reason: interfaces.NotRunReason, retryAfterMs = retryTimes.MIN_MS, inputs?: admission.Inputs
+  ): void => endJob(job, begun.has(job.job.key)
     ? { kind: 'unknown', reason: 'earlier-attempt' }
-    : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS })
+    : { kind: 'not-run', reason, retryAfterMs }, inputs)
+  const refuseForOverload = (refusals: admission.Refusal[]): void => {
+    for (const { job, inputs } of refusals) {
+      if (job.ended) continue
+      options.onRefusal?.(inputs.cause)
+      const retryAfterMs = retries.next(job, inputs.shareMillicores, inputs.backlogMs, timers.monotonic())
+      refuse(job, 'overload', retryAfterMs, inputs)
+    }
+  }
+  /** Judges the waiting jobs again; called whenever usable capacity has fallen. */
+  const reassess = (): void => refuseForOverload(admissions.reassess(timers.monotonic()))
 
   const review = (): void => {
     const now = timers.monotonic()
-    if (mustReassess) reassess()
-    for (const job of [...byKey.values()]) endIfLate(job, now)
+    if (mustReassess) refuseEvacuated()
+    for (const job of [...byKey.values()]) endIfUnanswerable(job, now)
+    refuseForOverload(admissions.review(now))
     for (const task of [...outstanding.values()]) {
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
         releaseTask(task)
       } else if (task.phase === 'ordered') {
-        const answerBy = task.job.callerDeadline - ANSWER_MARGIN_MS
+        const answerBy = task.job.callerDeadline - jobs.ANSWER_MARGIN_MS
         if (runHealth.isOverdue(task, task.agent!, answerBy)) stopTask(task)
       }
     }
@@ -265,10 +283,6 @@
   }
   const reviews = reviewTimer.create({ timers, review, isWaiting: () => waiting.size > 0 })
 
-  /** Work of the job that waits for capacity, without tasks that wait for the end of an evacuation. */
-  const workOf = (limits: fleetCapacity.Limits) => ({ job, tasks }: jobs.JobState): number => tasks
-    .filter((task) => jobs.isUnassigned(task) && !limits.isEvacuated(job.queue.service, task.task))
-    .reduce((sum, task) => sum + task.task.amount.millicores * expectedRunMs(task), 0)
   const join = (key: runs.JobKey, answer: interfaces.Answer, callerTimeoutMs: number): boolean => {
     const job = byKey.get(key)
     if (!job) return false
@@ -289,13 +303,10 @@
     if (limit === 'never-runnable' || (limit && !discovery.isIncomplete())) return refuse(state, limit)
     mustReassess ||= limit !== undefined
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
-    const millicores = fleetCapacity.entryShare(agents, job.queue.service)
-    const backlog = { waiting, workOf: workOf(limits), millicores }
-    const refused = discovery.isIncomplete() ? [] : admission.selectRefused(state, backlog, now)
-    for (const job of refused) refuse(job, 'overload')
+    refuseForOverload(admissions.admit(state, now))
     if (state.ended) return
-    waiting.add(state)
-    place()
+    // Waiting jobs could not use the present capacity when it became free.
+    place(undefined, [state])
     reviews.hasten()
   }
 
@@ -351,13 +362,16 @@
       const ids = [...agent.tasks.keys()]
       if (ids.length > 0) log.info('tasks-lost', { tasks: ids.slice(0, startOrders.MAX_LOGGED_TASKS).join(','), agent: agent.name, count: ids.length, waitMs })
       for (const task of agent.tasks.values()) markLost(task, mayRunUntil)
+      reassess()
     },
     receive: (link, message) => {
       const agent = agents.get(link)
       if (!agent) return
       if (message.kind === 'room') {
         const wasInService = !agents.evacuations.covers(agent)
+        const wasUsable = agent.worker?.leaving === false
         agents.update(agent, message)
+        if (wasUsable && agent.worker?.leaving !== false) reassess()
         if (agents.evacuations.covers(agent) === wasInService) scheduleReassessment()
         if (message.worker && !agent.hasReportedWorker) releaseFormerIncarnation(agent)
         agent.hasReportedWorker ||= message.worker !== undefined
@@ -368,7 +382,7 @@
     },
     evacuate: (zones) => {
       agents.evacuations.replace(zones, agents.all())
-      reassess()
+      refuseEvacuated()
       place()
     },
     suspended: (uncountedMs) => {
@@ -376,8 +390,9 @@
       for (const job of [...byKey.values()]) {
         job.callerDeadline -= uncountedMs
         job.latestStart -= uncountedMs
-        endIfLate(job, now)
+        endIfUnanswerable(job, now)
       }
+      reassess()
     },
     drain: (remainingMs) => { drainDeadline = timers.monotonic() + remainingMs },
     leave: () => {
