--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -6,15 +6,17 @@
 import * as agentSelection from './agent-selection.ts'
 import * as begunJobs from './begun-jobs.ts'
 import * as runEstimates from './estimates.ts'
-import * as fleetCapacity from './fleet-capacity.ts'
+import * as evacuatedJobReviews from './evacuated-jobs.ts'
 import * as fleetDiscovery from './fleet-discovery.ts'
 import * as heldJobs from './held-jobs.ts'
 import type * as interfaces from './interface.ts'
+import * as jobEndLog from './job-end-log.ts'
 import * as jobs from './jobs.ts'
 import * as demand from './demand.ts'
 import * as rackWait from './rack-wait.ts'
 import * as rackWaits from './rack-waits.ts'
-import * as retryTimes from './retry-times.ts'
+import * as refusals from './refusals.ts'
+import type * as retryTimes from './retry-times.ts'
 import * as reviewTimer from './review-timer.ts'
 import * as runHealths from './run-health.ts'
 import * as startOrders from './start-orders.ts'
@@ -74,14 +76,11 @@
   const begun = begunJobs.create()
   const held = heldJobs.create()
   const discovery = fleetDiscovery.create(timers)
-  const retries = options.retryTimes ?? retryTimes.create()
   const admissions = (options.admission ?? admission.create)({
     agents, estimates, waiting, knowsFleet: () => !discovery.isIncomplete()
   })
   let drainDeadline: number | undefined
   let placementScheduled = false
-  /** True if jobs may be waiting that fit only workers in evacuated zones. */
-  let mustReassess = false
   let lastOrder = 0
 
   /** Expected run time on the agent's worker, or on a typical one near the task's data. */
@@ -101,18 +100,7 @@
     runHealth.jobEnded(state)
     held.revise(state)
     const tookMs = timers.monotonic() - state.arrivedAt
-    // Logged as warnings, since the log drops lines of lower levels first.
-    const writeLog = outcome.kind === 'not-run' || outcome.kind === 'unknown' || outcome.kind === 'failed' ? log.warn : log.info
-    writeLog('job-end', {
-      job: state.job.key,
-      queue: state.job.queue.name,
-      outcome: outcome.kind,
-      reason: 'reason' in outcome ? outcome.reason : undefined,
-      tookMs: Math.round(tookMs),
-      tasks: state.tasks.length,
-      ...inputs,
-      retryAfterMs: 'retryAfterMs' in outcome ? Math.round(outcome.retryAfterMs) : undefined
-    })
+    jobEndLog.write(log, state, outcome, tookMs, inputs)
     options.onJobEnd(state.job, outcome, tookMs)
     for (const answer of state.answers.splice(0)) answer(outcome)
   }
@@ -154,7 +142,7 @@
       log.info('order-refused', { task: task.task.id, agent: agent.name, reason: message.reason })
       if (message.reason === 'evacuated') {
         agents.evacuations.report(agent, true)
-        scheduleReassessment()
+        scheduleEvacuatedReview()
       } else if (message.reason !== 'no-room') task.avoidedAgents.add(agent.name)
       return
     }
@@ -184,24 +172,15 @@
     placementScheduled = true
     timers.after(0, () => {
       placementScheduled = false
-      if (mustReassess) refuseEvacuated()
+      reviewEvacuated()
       place()
     })
   }
-  const scheduleReassessment = (): void => {
-    mustReassess = true
+  const reviewEvacuated = (): void => { if (evacuatedJobs.review()) reassess() }
+  const scheduleEvacuatedReview = (): void => {
+    evacuatedJobs.mayHaveChanged()
     schedulePlacement()
   }
-  /** Refuses the jobs that have not begun and fit only evacuated workers, once the agents of others have linked. */
-  const refuseEvacuated = (): void => {
-    mustReassess = discovery.isIncomplete()
-    if (mustReassess) return
-    const limits = fleetCapacity.createLimits(agents)
-    for (const job of [...byKey.values()]) {
-      if (!jobs.hasBegun(job) && limits.ofJob(job.job) === 'evacuated') refuse(job, 'evacuated')
-    }
-    reassess()
-  }
   /** Places tasks of the members (by default all waiting jobs), the most urgent first, on the given agent or on any. */
   const place = (onlyAgent?: fleet.Agent, members: Iterable<jobs.JobState> = waiting): void => {
     if (waiting.size === 0) return
@@ -248,25 +227,16 @@
     if (jobs.hasBegun(job)) endJob(job, { kind: 'unknown', reason: 'patience' })
     else refuseForOverload([admissions.expired(job, now)])
   }
-  const refuse = (
-    job: jobs.JobState, reason: interfaces.NotRunReason, retryAfterMs = retryTimes.MIN_MS, inputs?: admission.Inputs
-  ): void => endJob(job, begun.has(job.job.key)
-    ? { kind: 'unknown', reason: 'earlier-attempt' }
-    : { kind: 'not-run', reason, retryAfterMs }, inputs)
-  const refuseForOverload = (refusals: admission.Refusal[]): void => {
-    for (const { job, inputs } of refusals) {
-      if (job.ended) continue
-      options.onRefusal?.(inputs.cause)
-      const retryAfterMs = retries.next(job, inputs.shareMillicores, inputs.backlogMs, timers.monotonic())
-      refuse(job, 'overload', retryAfterMs, inputs)
-    }
-  }
+  const { refuse, refuseForOverload } = refusals.create({
+    timers, begun, retries: options.retryTimes, endJob, onRefusal: (cause) => options.onRefusal?.(cause)
+  })
+  const evacuatedJobs = evacuatedJobReviews.create({ agents, discovery, openJobs: () => byKey.values(), refuse })
   /** Judges the waiting jobs again; called whenever usable capacity has fallen. */
   const reassess = (): void => refuseForOverload(admissions.reassess(timers.monotonic()))
 
   const review = (): void => {
     const now = timers.monotonic()
-    if (mustReassess) refuseEvacuated()
+    reviewEvacuated()
     for (const job of [...byKey.values()]) endIfUnanswerable(job, now)
     refuseForOverload(admissions.review(now))
     for (const task of [...outstanding.values()]) {
@@ -298,10 +268,8 @@
     byKey.set(job.key, state)
     held.add(state)
     for (const step of job.steps) estimates.addStep(step.tasks)
-    const limits = fleetCapacity.createLimits(agents)
-    const limit = limits.ofJob(job)
-    if (limit === 'never-runnable' || (limit && !discovery.isIncomplete())) return refuse(state, limit)
-    mustReassess ||= limit !== undefined
+    const limit = evacuatedJobs.limitOf(job)
+    if (limit) return refuse(state, limit)
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
     refuseForOverload(admissions.admit(state, now))
     if (state.ended) return
@@ -372,7 +340,7 @@
         const wasUsable = agent.worker?.leaving === false
         agents.update(agent, message)
         if (wasUsable && agent.worker?.leaving !== false) reassess()
-        if (agents.evacuations.covers(agent) === wasInService) scheduleReassessment()
+        if (agents.evacuations.covers(agent) === wasInService) scheduleEvacuatedReview()
         if (message.worker && !agent.hasReportedWorker) releaseFormerIncarnation(agent)
         agent.hasReportedWorker ||= message.worker !== undefined
         place(agent)
@@ -382,7 +350,8 @@
     },
     evacuate: (zones) => {
       agents.evacuations.replace(zones, agents.all())
-      refuseEvacuated()
+      evacuatedJobs.mayHaveChanged()
+      reviewEvacuated()
       place()
     },
     suspended: (uncountedMs) => {
