job-dispatcher: keep capacity for jobs that are held back, and mend seams found in review

A reviewer who wrote none of the parts showed by small trials: single tasks of the least urgent queue starved jobs of five tasks (15 of 75 completed); a worker out of rotation got no trial behind the start gate; labelled jobs were refused beside an idle worker; jobs that wait for a rack used up the gate's capacity; callers who left made their queue most urgent; one large late job blocked all others; a suspension of the clock passed over rack waits.

The gate now compares with the workers that fit the task, holds what a blocked job needs against less urgent ones, and deducts what was really placed.

--- a/packages/job-dispatcher/src/admission.ts
+++ b/packages/job-dispatcher/src/admission.ts
@@ -2,6 +2,7 @@
 import * as fairShares from './fair-shares.ts'
 import * as fleetCapacity from './fleet-capacity.ts'
 import * as forecasts from './forecast.ts'
+import type * as interfaces from './interface.ts'
 import * as jobs from './jobs.ts'
 import * as policies from './rules.ts'
 import * as startGates from './start-gate.ts'
@@ -57,8 +58,7 @@
   abstract gate (now: number): startGates.StartGate
   /** The caller's deadline has come before the job has begun. */
   abstract expired (job: jobs.JobState, now: number): Refusal
-  /** The job has ended; `served` if it was answered with a result. */
-  abstract ended (job: jobs.JobState, served: boolean, now: number): void
+  abstract ended (job: jobs.JobState, outcome: interfaces.Outcome, now: number): void
 }
 
 /** Waiting jobs of one rank. */
@@ -86,6 +86,11 @@
   isReassessed: boolean
 }
 
+/** True for a lack of capacity. Callers that leave, or entries that take jobs over, tell nothing of a queue's share. */
+const isUnserved = (outcome: interfaces.Outcome): boolean =>
+  (outcome.kind === 'not-run' && outcome.reason === 'overload') ||
+  (outcome.kind === 'unknown' && outcome.reason === 'patience')
+
 const createLevel = (rank: number, forecast: forecasts.Forecast, work: number): Level =>
   ({ rank, forecast, work, refusable: 0 })
 
@@ -152,7 +157,8 @@
     for (const job of late) {
       if (job.job.queue.service !== service) continue
       const millicores = millicoresOf(job, forecast)
-      if (forecast.shortage(millicores + LATE_HEADROOM * forecast.share, 0) > 0) return
+      // A smaller one behind it may still find room.
+      if (forecast.shortage(millicores + LATE_HEADROOM * forecast.share, 0) > 0) continue
       forecast.reserve(millicores, job.criticalPathMs, 0)
       late.delete(job)
       waiting.add(job)
@@ -242,9 +248,9 @@
       const forecast = forecasts.create(view, service, jobs.nextTask(job).amount, now)
       return refusalOf(job, createLevel(-1, forecast, 0), 'deadline', now)
     },
-    ended: (job, served, now) => {
+    ended: (job, outcome, now) => {
       late.delete(job)
-      if (!served) shares.unserved(job, now)
+      if (isUnserved(outcome)) shares.unserved(job, now)
     }
   }
 }
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -92,7 +92,7 @@
   const endJob = (state: jobs.JobState, outcome: interfaces.Outcome, inputs?: admission.Inputs): void => {
     if (state.ended) return
     state.ended = true
-    admissions.ended(state, outcome.kind !== 'not-run' && outcome.kind !== 'unknown', timers.monotonic())
+    admissions.ended(state, outcome, timers.monotonic())
     if (jobs.hasBegun(state)) begun.add(state.job.key)
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
@@ -181,8 +181,8 @@
     evacuatedJobs.mayHaveChanged()
     schedulePlacement()
   }
-  /** Places tasks of the members (by default all waiting jobs), the most urgent first, on the given agent or on any. */
-  const place = (onlyAgent?: fleet.Agent, members: Iterable<jobs.JobState> = waiting): void => {
+  /** Places waiting tasks on the given agent or on any, the most urgent jobs first. */
+  const place = (onlyAgent?: fleet.Agent): void => {
     if (waiting.size === 0) return
     const batch: Batch = new Map()
     const candidates = onlyAgent ? [onlyAgent] : agents.inService().filter(({ free }) => free.millicores > 0)
@@ -191,7 +191,14 @@
       ...agentSelection.createPass(timers.monotonic()), zone, candidates, policy, waits, expectedRunMs
     }
     const gate = admissions.gate(timers.monotonic())
-    for (const job of [...members]) if (gate.mayStart(job)) placeJob(job, situation, batch)
+    for (const job of [...waiting]) {
+      // A report of one worker concerns only the jobs whose tasks fit it.
+      if (onlyAgent && !jobs.fitsSome(job, onlyAgent.free)) continue
+      if (!gate.mayStart(job)) continue
+      const waitingMillicores = jobs.waitingMillicores(job)
+      placeJob(job, situation, batch)
+      gate.started(job, waitingMillicores - jobs.waitingMillicores(job))
+    }
     for (const [agent, tasks] of batch) startOrders.send(options, agent, tasks)
   }
   const placeJob = (job: jobs.JobState, situation: agentSelection.SelectionContext, batch: Batch): void => {
@@ -273,8 +280,8 @@
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
     refuseForOverload(admissions.admit(state, now))
     if (state.ended) return
-    // Waiting jobs could not use the present capacity when it became free.
-    place(undefined, [state])
+    // More urgent jobs that are held back keep their capacity from this one.
+    place()
     reviews.hasten()
   }
 
@@ -357,8 +364,7 @@
     suspended: (uncountedMs) => {
       const now = timers.monotonic()
       for (const job of [...byKey.values()]) {
-        job.callerDeadline -= uncountedMs
-        job.latestStart -= uncountedMs
+        jobs.advance(job, uncountedMs)
         endIfUnanswerable(job, now)
       }
       reassess()
--- a/packages/job-dispatcher/src/evacuated-jobs.ts
+++ b/packages/job-dispatcher/src/evacuated-jobs.ts
@@ -12,11 +12,11 @@
 }
 
 /**
- * Refuses the jobs that have not begun and fit only workers in evacuated zones. While agents are about to link, such
- * jobs wait: the workers of the agents to come may fit them.
+ * Refuses the jobs that have not begun and fit no worker, or only workers in evacuated zones. While agents are about to
+ * link, such jobs wait: the workers of the agents to come may fit them.
  */
 export interface EvacuatedJobs {
-  /** The evacuations have changed, or a job may wait that fits only evacuated workers. */
+  /** The evacuations have changed, or a job may wait that fits no worker in service. */
   mayHaveChanged (): void
   /** Refuses such jobs if there may be any. Returns true if they were assessed. */
   review (): boolean
@@ -34,13 +34,14 @@
       isPending = false
       const limits = fleetCapacity.createLimits(agents)
       for (const job of [...openJobs()]) {
-        if (!jobs.hasBegun(job) && limits.ofJob(job.job) === 'evacuated') refuse(job, 'evacuated')
+        const limit = limits.ofJob(job.job)
+        if (limit && !jobs.hasBegun(job)) refuse(job, limit)
       }
       return true
     },
     limitOf: (job) => {
       const limit = fleetCapacity.createLimits(agents).ofJob(job)
-      if (limit !== 'evacuated' || !discovery.isIncomplete()) return limit
+      if (!limit || !discovery.isIncomplete()) return limit
       isPending = true
       return undefined
     }
--- a/packages/job-dispatcher/src/fair-shares.ts
+++ b/packages/job-dispatcher/src/fair-shares.ts
@@ -16,6 +16,9 @@
  */
 const PRIOR_JOBS = 0.3
 
+/** Decayed number of jobs from which a queue counts as served too rarely; fewer may be refused by chance. */
+const MIN_OFFERED = 2
+
 interface Tally {
   offered: number
   unserved: number
@@ -46,7 +49,7 @@
 
 export const create = ({ sizeFloor, queueFloor }: Pick<policies.Rules, 'sizeFloor' | 'queueFloor'>): FairShares => {
   const queues = new Map<interfaces.QueueName, QueueTally>()
-  const classes = new WeakMap<jobs.JobState, number>()
+  const offers = new WeakMap<jobs.JobState, { index: number, at: number }>()
 
   const tallyOf = (queue: interfaces.QueueName, now: number): QueueTally => {
     let tally = queues.get(queue)
@@ -76,21 +79,23 @@
       if (tally.arrivals % UPDATE_INTERVAL === 0) updateBounds(tally)
       const found = tally.bounds.findIndex((bound) => job.size >= bound)
       const index = found < 0 ? QUANTILES.length : found
-      classes.set(job, index)
+      offers.set(job, { index, at: now })
       tally.offered++
       tally.classes[index]!.offered++
     },
     unserved: (job, now) => {
-      const index = classes.get(job)
-      if (index === undefined) return
-      classes.delete(job)
+      const offer = offers.get(job)
+      if (!offer) return
+      offers.delete(job)
       const tally = tallyOf(job.job.queue.name, now)
-      tally.unserved++
-      tally.classes[index]!.unserved++
+      // The weight that its offer still has.
+      const weight = Math.exp((offer.at - now) / TIME_CONSTANT_MS)
+      tally.unserved += weight
+      tally.classes[offer.index]!.unserved += weight
     },
     protectsSize: (job) => {
       const tally = queues.get(job.job.queue.name)
-      const index = classes.get(job)
+      const index = offers.get(job)?.index
       if (!tally || index === undefined || index === QUANTILES.length) return false
       const { offered, unserved } = tally.classes[index]!
       const queueShare = servedShare(tally)
@@ -99,7 +104,7 @@
     },
     protectsQueue: (queue) => {
       const tally = queues.get(queue)
-      return tally !== undefined && tally.offered > 1 && servedShare(tally) < queueFloor
+      return tally !== undefined && tally.offered > MIN_OFFERED && servedShare(tally) < queueFloor
     }
   }
 }
--- a/packages/job-dispatcher/src/fleet-capacity.ts
+++ b/packages/job-dispatcher/src/fleet-capacity.ts
@@ -36,7 +36,8 @@
   ofJob (job: interfaces.Job): Limit | undefined
 }
 
-const isFit = ({ amount, label }: interfaces.Task, { capacity, labels }: runs.Worker): boolean =>
+/** True if the task fits the worker while nothing else runs there. */
+export const isFit = ({ amount, label }: interfaces.Task, { capacity, labels }: runs.Worker): boolean =>
   runs.fits(amount, capacity) && (!label || labels.includes(label))
 
 export const createLimits = (agents: fleet.Agents): Limits => {
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -1,4 +1,4 @@
-import type * as runs from '@mustarddeck/runs'
+import * as runs from '@mustarddeck/runs'
 import type * as agents from './agents.ts'
 import * as estimates from './estimates.ts'
 import type * as interfaces from './interface.ts'
@@ -233,6 +233,21 @@
   return total
 }
 
+/** True if a task that is ready to be placed fits the amount. */
+export const fitsSome = ({ tasks }: JobState, free: runs.Resources): boolean =>
+  tasks.some(({ phase, task }) => phase === 'waiting' && runs.fits(task.amount, free))
+
+/** Brings all times of the job forward by the time in ms for which the monotonic clock stood still. */
+export const advance = (job: JobState, uncountedMs: number): void => {
+  job.callerDeadline -= uncountedMs
+  job.latestStart -= uncountedMs
+  if (job.awaited) job.awaited.until -= uncountedMs
+  for (const task of job.tasks) {
+    task.waitLimit -= uncountedMs
+    if (task.rackWait) task.rackWait.until -= uncountedMs
+  }
+}
+
 /** A task that is ready to be placed, or the first one if there is none. */
 export const nextTask = ({ tasks }: JobState): interfaces.Task =>
   (tasks.find(({ phase }) => phase === 'waiting') ?? tasks[0]!).task
--- a/packages/job-dispatcher/src/rules.ts
+++ b/packages/job-dispatcher/src/rules.ts
@@ -21,7 +21,7 @@
  */
 export const DEFAULT: Rules = {
   sizeFloor: 0.7,
-  queueFloor: 0.05,
+  queueFloor: 0.08,
   servesLate: true,
   reviews: true,
   allOrNothing: true,
