job-dispatcher: take admission by a forecast of capacity back out

Late jobs waited until their callers left (136 of 174 unknown outcomes in 24 s), and jobs that had begun could not get the rest of their capacity.

Kept: retry times from the backlog, judging waiting jobs again when capacity falls, the causes and inputs of a refusal in the log and in a counter, and passes over one worker's report that skip jobs that do not fit it.

--- a/packages/job-dispatcher/src/demand.ts
+++ b/packages/job-dispatcher/src/demand.ts
@@ -38,20 +38,20 @@
       return send(link, { kind: 'want' })
     }
     const now = timers.monotonic()
-    const priority = job.rank
+    const { priority } = job.job.queue
     const withinMs = Math.max(OVERDUE_WITHIN_MS, Math.round(job.latestStart - now))
     lastSent.set(link, { priority, startDeadline: now + withinMs })
     send(link, { kind: 'want', urgency: { priority, withinMs } })
   }
   /** True if the sent demand is less urgent than the job or its start deadline has passed. */
-  const mustNotify = (sent: SentDemand | undefined, { rank, latestStart }: jobs.JobState): boolean => {
+  const mustNotify = (sent: SentDemand | undefined, { job, latestStart }: jobs.JobState): boolean => {
     const now = timers.monotonic()
-    if (!sent || sent.startDeadline < now || sent.priority > rank) return true
-    return sent.priority === rank &&
+    if (!sent || sent.startDeadline < now || sent.priority > job.queue.priority) return true
+    return sent.priority === job.queue.priority &&
       sent.startDeadline > Math.max(latestStart, now + OVERDUE_WITHIN_MS) + TOLERANCE_MS
   }
-  const overstatesUrgency = (sent: SentDemand, { rank, latestStart }: jobs.JobState): boolean =>
-    sent.priority < rank || latestStart > sent.startDeadline + TOLERANCE_MS
+  const overstatesUrgency = (sent: SentDemand, { job, latestStart }: jobs.JobState): boolean =>
+    sent.priority < job.queue.priority || latestStart > sent.startDeadline + TOLERANCE_MS
 
   /** Jobs that wait for a rack ask its agents only, so that others offer their room to jobs that would use it. */
   const mostUrgentFor = (worker: runs.Worker, waiting: waitingJobs.WaitingJobs): jobs.JobState | undefined => {
--- a/packages/job-dispatcher/src/dispatcher.ts
+++ b/packages/job-dispatcher/src/dispatcher.ts
@@ -46,8 +46,7 @@
   onLateRun? (kind: runHealths.LateRun): void
   /** Called for each job that admission refuses. */
   onRefusal? (cause: admission.Cause): void
-  /** Admission policy and retry times; the default ones unless given. */
-  admission? (view: admission.View): admission.Admission
+  /** Computes the times after which refused callers retry; other ones are for comparisons. */
   retryTimes?: retryTimes.RetryTimes
 }
 
@@ -76,9 +75,6 @@
   const begun = begunJobs.create()
   const held = heldJobs.create()
   const discovery = fleetDiscovery.create(timers)
-  const admissions = (options.admission ?? admission.create)({
-    agents, estimates, waiting, knowsFleet: () => !discovery.isIncomplete()
-  })
   let drainDeadline: number | undefined
   let placementScheduled = false
   let lastOrder = 0
@@ -89,10 +85,11 @@
     return estimates.expectedRunMs(job.job.queue.name, task, place)
   }
 
+  const admissions = admission.create({ agents, waiting, expectedRunMs, knowsFleet: () => !discovery.isIncomplete() })
+
   const endJob = (state: jobs.JobState, outcome: interfaces.Outcome, inputs?: admission.Inputs): void => {
     if (state.ended) return
     state.ended = true
-    admissions.ended(state, outcome, timers.monotonic())
     if (jobs.hasBegun(state)) begun.add(state.job.key)
     waiting.delete(state)
     if (byKey.get(state.job.key) === state) byKey.delete(state.job.key)
@@ -190,14 +187,9 @@
     const situation: agentSelection.SelectionContext = {
       ...agentSelection.createPass(timers.monotonic()), zone, candidates, policy, waits, expectedRunMs
     }
-    const gate = admissions.gate(timers.monotonic())
     for (const job of [...waiting]) {
       // A report of one worker concerns only the jobs whose tasks fit it.
-      if (onlyAgent && !jobs.fitsSome(job, onlyAgent.free)) continue
-      if (!gate.mayStart(job)) continue
-      const waitingMillicores = jobs.waitingMillicores(job)
-      placeJob(job, situation, batch)
-      gate.started(job, waitingMillicores - jobs.waitingMillicores(job))
+      if (!onlyAgent || jobs.fitsSome(job, onlyAgent.free)) placeJob(job, situation, batch)
     }
     for (const [agent, tasks] of batch) startOrders.send(options, agent, tasks)
   }
@@ -229,11 +221,17 @@
     outstanding.set(task.task.id, task)
     task.job.outstanding++
   }
-  const endIfUnanswerable = (job: jobs.JobState, now: number): void => {
-    if (now < job.callerDeadline - jobs.ANSWER_MARGIN_MS) return
-    if (jobs.hasBegun(job)) endJob(job, { kind: 'unknown', reason: 'patience' })
-    else refuseForOverload([admissions.expired(job, now)])
+  const endIfLate = (job: jobs.JobState, now: number): void => {
+    if (now >= job.callerDeadline - jobs.ANSWER_MARGIN_MS) {
+      if (jobs.hasBegun(job)) endJob(job, { kind: 'unknown', reason: 'patience' })
+      else refuseForOverload([admissions.expired(job, now)])
+    } else if (now > job.latestStart && !jobs.hasBegun(job) && !mayStillBeServed(job, now)) {
+      refuseForOverload([admissions.expired(job, now)])
+    }
   }
+  /** While agents are about to link, a job may start late as long as its caller still waits for the result. */
+  const mayStillBeServed = ({ callerDeadline, criticalPathMs }: jobs.JobState, now: number): boolean =>
+    discovery.isIncomplete() && now + criticalPathMs < callerDeadline - jobs.ANSWER_MARGIN_MS
   const { refuse, refuseForOverload } = refusals.create({
     timers, begun, retries: options.retryTimes, endJob, onRefusal: (cause) => options.onRefusal?.(cause)
   })
@@ -244,8 +242,7 @@
   const review = (): void => {
     const now = timers.monotonic()
     reviewEvacuated()
-    for (const job of [...byKey.values()]) endIfUnanswerable(job, now)
-    refuseForOverload(admissions.review(now))
+    for (const job of [...byKey.values()]) endIfLate(job, now)
     for (const task of [...outstanding.values()]) {
       if (task.phase === 'lost' && now >= task.mayRunUntil) {
         log.info('task-again', { task: task.task.id, agent: task.agent?.name, end: 'lost' })
@@ -278,9 +275,9 @@
     const limit = evacuatedJobs.limitOf(job)
     if (limit) return refuse(state, limit)
     if (drainDeadline !== undefined && now + state.criticalPathMs > drainDeadline) return refuse(state, 'draining')
+    waiting.add(state)
     refuseForOverload(admissions.admit(state, now))
     if (state.ended) return
-    // More urgent jobs that are held back keep their capacity from this one.
     place()
     reviews.hasten()
   }
@@ -365,7 +362,7 @@
       const now = timers.monotonic()
       for (const job of [...byKey.values()]) {
         jobs.advance(job, uncountedMs)
-        endIfUnanswerable(job, now)
+        endIfLate(job, now)
       }
       reassess()
     },
--- a/packages/job-dispatcher/src/jobs.ts
+++ b/packages/job-dispatcher/src/jobs.ts
@@ -62,16 +62,10 @@
   criticalPathMs: number
   /** Expected duration in ms of the longest chain of steps after each step. */
   laterPathsMs: number[]
-  /** Capacity of all its tasks in millicores. */
-  size: number
   /** Work of all its tasks in millicores times ms, as expected at its arrival. */
   work: number
-  /** Monotonic ms by which it has to start to meet the queue's response time objective and its caller's deadline. */
+  /** Monotonic ms by which it has to start to meet the queue's response time objective. */
   latestStart: number
-  /** Priority of its queue, or a more urgent one if its queue is served too rarely. */
-  rank: number
-  /** It can no longer be in time, and takes only capacity that no other job needs. */
-  late: boolean
   /** Whether a task of the job may have started. */
   mayHaveStarted: boolean
   answers: interfaces.Answer[]
@@ -81,11 +75,6 @@
   ended: boolean
 }
 
-/**
- * Share of the linked capacity above which a job runs in parts, as an entry with few links would otherwise refuse it
- * while its workers are idle.
- */
-export const MAX_CAPACITY_SHARE = 0.5
 /** Time in ms before the caller's deadline at which the answer is sent, so that it still arrives in time. */
 export const ANSWER_MARGIN_MS = 40
 
@@ -109,6 +98,9 @@
   return later
 }
 
+const workOf = ({ steps }: interfaces.Job, estimate: (task: interfaces.Task) => number): number =>
+  steps.reduce((sum, { tasks }) => tasks.reduce((part, task) => part + task.amount.millicores * estimate(task), sum), 0)
+
 const requirementsOf = ({ queue }: interfaces.Job, { amount, label }: interfaces.Task): string =>
   `${queue.service} ${amount.millicores} ${amount.memoryMb} ${amount.accelerators} ${label ?? ''}`
 
@@ -117,10 +109,7 @@
   answer: interfaces.Answer
 ): JobState => {
   const criticalPathMs = criticalPathOf(job, estimate)
-  const { stretch, objectiveMs, priority } = job.queue
-  const objectiveStartMs = criticalPathMs * (stretch - 1) + objectiveMs
-  // A job that is expected to take longer than its caller waits may still end earlier than expected.
-  const deadlineStartMs = Math.max(objectiveMs, job.callerTimeoutMs - ANSWER_MARGIN_MS - criticalPathMs)
+  const { stretch, objectiveMs } = job.queue
   const state: JobState = {
     job,
     tasks: [],
@@ -132,20 +121,13 @@
     callerDeadline: now + job.callerTimeoutMs,
     criticalPathMs,
     laterPathsMs: laterPathsOf(job, estimate),
-    size: 0,
-    work: 0,
-    latestStart: now + Math.min(Math.max(objectiveMs, objectiveStartMs), deadlineStartMs),
-    rank: priority,
-    late: false,
+    work: workOf(job, estimate),
+    latestStart: now + Math.max(objectiveMs, criticalPathMs * (stretch - 1) + objectiveMs),
     mayHaveStarted: false,
     answers: [answer],
     outstanding: 0,
     ended: false
   }
-  for (const task of job.steps.flatMap(({ tasks }) => tasks)) {
-    state.size += task.amount.millicores
-    state.work += task.amount.millicores * estimate(task)
-  }
   state.tasks = job.steps.flatMap((step, index) => step.tasks.map((task): TaskState => ({
     job: state,
     task,
@@ -216,9 +198,9 @@
 export const mayUse = ({ awaited }: JobState, worker: runs.Worker, now: number): boolean =>
   awaited === undefined || now >= awaited.until || [...awaited.racks].some((rack) => racks.isOn(worker, rack))
 
-/** Compares jobs by rank, then by their latest start; those that can't be in time come last. */
+/** Compares jobs by the priority of their queue, then by their latest start. */
 export const compareUrgency = (left: JobState, right: JobState): number =>
-  Number(left.late) - Number(right.late) || left.rank - right.rank || left.latestStart - right.latestStart
+  left.job.queue.priority - right.job.queue.priority || left.latestStart - right.latestStart
 
 /** True if a task of the job has been ordered or may have started. */
 export const hasBegun = (job: JobState): boolean => job.mayHaveStarted || !job.tasks.every(isUnassigned)
@@ -226,13 +208,6 @@
 /** True for a task that is not done and not assigned to an agent. */
 export const isUnassigned = ({ phase }: TaskState): boolean => phase === 'waiting' || phase === 'blocked'
 
-/** Capacity in millicores of the tasks that are ready to be placed. */
-export const waitingMillicores = ({ tasks }: JobState): number => {
-  let total = 0
-  for (const { phase, task } of tasks) if (phase === 'waiting') total += task.amount.millicores
-  return total
-}
-
 /** True if a task that is ready to be placed fits the amount. */
 export const fitsSome = ({ tasks }: JobState, free: runs.Resources): boolean =>
   tasks.some(({ phase, task }) => phase === 'waiting' && runs.fits(task.amount, free))
@@ -248,10 +223,6 @@
   }
 }
 
-/** A task that is ready to be placed, or the first one if there is none. */
-export const nextTask = ({ tasks }: JobState): interfaces.Task =>
-  (tasks.find(({ phase }) => phase === 'waiting') ?? tasks[0]!).task
-
 /** Records that the task is done and unblocks the steps that depend on it. Returns true when the job is done. */
 export const complete = (state: JobState, { step }: TaskState): boolean => {
   state.remaining[step]!--
