--- a/review/stand-ins-2/forwarder.mjs
+++ b/review/stand-ins-2/forwarder.mjs
@@ -1,12 +1,15 @@
 // The platform's forwarding of clients' connections to the `front` address of an entry.
 import * as net from 'node:net'
 
-export const createForwarder = async (host, port) => {
+/** With `openAfterMs`, connections are opened at the entry only that long after the client has opened them. */
+export const createForwarder = async (host, port, { openAfterMs = 0 } = {}) => {
   const clients = new Set()
-  const server = net.createServer((client) => {
-    const entry = net.connect({ host, port })
+  const server = net.createServer(async (client) => {
     clients.add(client)
     client.on('error', () => {})
+    if (openAfterMs > 0) await new Promise((resolve) => setTimeout(resolve, openAfterMs))
+    if (client.destroyed) return
+    const entry = net.connect({ host, port })
     entry.on('error', () => client.destroy())
     client.pipe(entry, { end: false })
     entry.pipe(client)
