--- a/review/7/play.mjs
+++ b/review/7/play.mjs
@@ -1,43 +1,40 @@
-// A job is cancelled and its cancelling acknowledged. The entry that held it is then stopped and started again, as in
-// planned work. Seconds later the request for the job arrives once more, at another entry.
+// Two of 38 orders get no answer and are carried out 3 s later. Their agent stops them and has that confirmed, and the
+// tasks start on other workers. Meanwhile the machine of the late orders loses power: its agent is killed, and its
+// worker crashes and starts again under the same id. The late orders reach the worker's next life.
 import * as path from 'node:path'
 import * as url from 'node:url'
 import * as deployments from '../stand-ins-2/deployment.mjs'
 
-const { BOUNDS, jobOf, keyOf, sleep } = deployments
+const { jobOf, keyOf, sleep } = deployments
 const folder = path.dirname(url.fileURLToPath(import.meta.url))
-const KEYS = Array.from({ length: 12 }, (_, index) => keyOf(index + 1))
-const DEADLINE_MS = 2500
-const RUN_MS = 900
-/** Time in ms after the restart, so that all machines are in touch again. */
-const CALM_MS = BOUNDS.contact_ms + 500
+const KEYS = Array.from({ length: 38 }, (_, index) => keyOf(index + 1))
+const LATE_ORDERS = 2
+const LATE_MS = 3000
+const RUN_MS = 6000
+const DEADLINE_MS = 12_000
+/** Times in ms from the submissions to the loss of power, and from that to the worker's and the agent's return. */
+const LOST_AFTER_MS = 1200
+const WORKER_DOWN_MS = 500
+const AGENT_DOWN_MS = 3000
 
-deployments.play(folder, { entries: 3, agents: 4 }, async ({ entries, runs, record, request, untilReady }) => {
-  const [first, second, third] = entries
-  const body = jobOf(2, RUN_MS)
-  const submissions = KEYS.map((key) => request(first, 'POST', key, { body, deadlineMs: DEADLINE_MS }))
-  await sleep(300)
-  const acknowledged = new Map()
-  for (const [index, key] of KEYS.entries()) {
-    // Half of the cancellings reach the entry that holds the job, the others another one.
-    const { status, at } = await request(index % 2 === 0 ? first : third, 'DELETE', key)
-    if (status === 410 || (status >= 200 && status < 300)) acknowledged.set(key, at)
+deployments.play(folder, { entries: 3, agents: 4 }, async ({ entries, agents, workers, runs, record, request }) => {
+  const [worker] = workers
+  const agent = agents.find(({ name }) => name === worker.machine)
+  if (deployments.hasTrouble()) {
+    let lateOrders = 0
+    worker.faults.late = (call) => call === '/run-start' && ++lateOrders <= LATE_ORDERS ? LATE_MS : 0
   }
-  if (acknowledged.size < KEYS.length) throw new Error('a cancelling was not acknowledged')
-  await Promise.all(submissions)
+  const submissions = KEYS.map((key, index) =>
+    request(entries[index % entries.length], 'POST', key, { body: jobOf(1, RUN_MS, 1000), deadlineMs: DEADLINE_MS }))
+  await sleep(LOST_AFTER_MS)
   if (deployments.hasTrouble()) {
-    await first.signal('SIGTERM')
-    first.start()
-    await untilReady([first])
-  } else await sleep(4000)
-  await sleep(CALM_MS)
-  record.write('script', 'the requests arrive again')
-  await Promise.all(KEYS.map((key) => request(second, 'POST', key, { body, deadlineMs: DEADLINE_MS })))
-  await sleep(500)
-  return runs.flatMap(({ task, run, machine, startedAt }) => {
-    const at = acknowledged.get(task.split('.')[0])
-    const afterMs = startedAt - at
-    if (afterMs <= BOUNDS.cancel_ms) return []
-    return [`UNASKED: ${machine} starts run ${run} of ${task} ${afterMs} ms after the cancelling was acknowledged`]
-  })
+    const restarted = worker.crash(WORKER_DOWN_MS)
+    await agent.signal('SIGKILL')
+    await sleep(AGENT_DOWN_MS)
+    await restarted
+    agent.start()
+  }
+  await Promise.all(submissions)
+  record.write('script', 'all jobs have ended')
+  return deployments.overlapsOf(runs)
 })
