--- a/review/7/play.mjs
+++ b/review/7/play.mjs
@@ -1,40 +1,59 @@
-// Two of 38 orders get no answer and are carried out 3 s later. Their agent stops them and has that confirmed, and the
-// tasks start on other workers. Meanwhile the machine of the late orders loses power: its agent is killed, and its
-// worker crashes and starts again under the same id. The late orders reach the worker's next life.
+// A worker crashes and is back under the same id 0.2 s later. Up to 0.1 s after that its agent is killed. What the
+// agent ordered in between runs on for up to 1 s, and starts elsewhere before. Played twelve times in turn on four
+// machines, under a steady load. VARIANT=late-order plays late-order.mjs instead.
 import * as path from 'node:path'
 import * as url from 'node:url'
 import * as deployments from '../stand-ins-2/deployment.mjs'
 
 const { jobOf, keyOf, sleep } = deployments
 const folder = path.dirname(url.fileURLToPath(import.meta.url))
-const KEYS = Array.from({ length: 38 }, (_, index) => keyOf(index + 1))
-const LATE_ORDERS = 2
-const LATE_MS = 3000
-const RUN_MS = 6000
-const DEADLINE_MS = 12_000
-/** Times in ms from the submissions to the loss of power, and from that to the worker's and the agent's return. */
-const LOST_AFTER_MS = 1200
-const WORKER_DOWN_MS = 500
-const AGENT_DOWN_MS = 3000
+/** Time in ms between two submissions; the site's clients send 98 a second. */
+const SUBMIT_MS = 12
+/** Run times in ms of the jobs in turn. */
+const RUN_MS = [100, 300, 2500]
+const DEADLINE_MS = 6000
+const ROUNDS = 12
+const WORKER_DOWN_MS = 200
+/** Times in ms from the worker's return to the end of its agent, in turn. */
+const KILLED_AFTER_MS = [30, 60, 100]
+const AGENT_DOWN_MS = 1500
+const CALM_MS = 2500
 
-deployments.play(folder, { entries: 3, agents: 4 }, async ({ entries, agents, workers, runs, record, request }) => {
-  const [worker] = workers
-  const agent = agents.find(({ name }) => name === worker.machine)
-  if (deployments.hasTrouble()) {
-    let lateOrders = 0
-    worker.faults.late = (call) => call === '/run-start' && ++lateOrders <= LATE_ORDERS ? LATE_MS : 0
+const playRestarts = () => deployments.play(folder, { cpu: 16_000 }, async (deployment) => {
+  const { entries, agents, workers, runs, record, request } = deployment
+  let jobs = 0
+  const open = new Set()
+  const stopping = new AbortController()
+  const submitSteadily = async () => {
+    while (!stopping.signal.aborted) {
+      const entry = entries[++jobs % entries.length]
+      const body = jobOf(1, RUN_MS[jobs % RUN_MS.length], 400)
+      const answer = request(entry, 'POST', keyOf(jobs), { body, deadlineMs: DEADLINE_MS })
+      open.add(answer)
+      answer.then(() => open.delete(answer))
+      await sleep(SUBMIT_MS)
+    }
   }
-  const submissions = KEYS.map((key, index) =>
-    request(entries[index % entries.length], 'POST', key, { body: jobOf(1, RUN_MS, 1000), deadlineMs: DEADLINE_MS }))
-  await sleep(LOST_AFTER_MS)
-  if (deployments.hasTrouble()) {
-    const restarted = worker.crash(WORKER_DOWN_MS)
-    await agent.signal('SIGKILL')
-    await sleep(AGENT_DOWN_MS)
-    await restarted
-    agent.start()
+  const submitting = submitSteadily()
+  await sleep(1000)
+  for (let round = 0; round < ROUNDS; round++) {
+    const worker = workers[round % workers.length]
+    const agent = agents.find(({ name }) => name === worker.machine)
+    if (deployments.hasTrouble()) {
+      await worker.crash(WORKER_DOWN_MS)
+      await sleep(KILLED_AFTER_MS[round % KILLED_AFTER_MS.length])
+      await agent.signal('SIGKILL')
+      await sleep(AGENT_DOWN_MS)
+      agent.start()
+    } else await sleep(AGENT_DOWN_MS)
+    await sleep(CALM_MS)
   }
-  await Promise.all(submissions)
-  record.write('script', 'all jobs have ended')
+  stopping.abort()
+  await submitting
+  await Promise.all(open)
+  record.write('script', `${jobs} jobs, ${runs.length} runs`)
   return deployments.overlapsOf(runs)
 })
+
+if (process.env.VARIANT === 'late-order') await import('./late-order.mjs')
+else playRestarts()
