--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -173,8 +173,11 @@
       clearTimeout(timer)
       beat()
     },
-    /** Crashes, and starts again under the same id after the given time: it knows nothing of before. */
-    crash: async (downMs) => {
+    /**
+     * Crashes, and starts again under the same id after the given time: it knows nothing of before. Its first heartbeat
+     * comes `beatAfterMs` after its start.
+     */
+    crash: async (downMs, beatAfterMs = 0) => {
       record.write(name, 'crashes')
       state.down = true
       clearTimeout(timer)
@@ -189,7 +192,7 @@
       born = Date.now()
       startedAt = performance.now()
       record.write(name, 'starts again')
-      beat()
+      timer = setTimeout(beat, beatAfterMs)
     },
     stop: () => {
       state.stopped = true
