review/11: two entries run a job when its registrar and its holder are silent for a quarter of a second

Two of three entries freeze for 0.25 s while clients whose connections broke unseen hand their jobs in again at the third one. It takes jobs for free that the first one runs.

--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -229,8 +229,11 @@
   return { store, entries, machines, isReady, stop }
 }
 
-/** Sends one request on a connection of its own. The status is undefined if there is no response within the time. */
-export const send = ({ host, port }, method, target, body, waitMs) => new Promise((resolve) => {
+/**
+ * Sends one request on a connection of its own. The status is undefined if there is no response within the time.
+ * `onConnect` is called with the connection's own port.
+ */
+export const send = ({ host, port }, method, target, body, waitMs, onConnect = () => {}) => new Promise((resolve) => {
   const text = body === undefined ? '' : JSON.stringify(body)
   const call = http.request({
     host,
@@ -253,6 +256,7 @@
     clearTimeout(timer)
     resolve(answer)
   }
+  call.on('socket', (socket) => socket.once('connect', () => onConnect(socket.localPort)))
   call.on('error', (cause) => finish({ status: undefined, reason: cause.message }))
   call.on('response', (response) => {
     let received = ''
