--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -14,7 +14,7 @@
 const GAP_MS = 2000
 const STEADY_MS = 9000
 /** The workers serve for `drain_ms` after the acknowledgement and a little longer. */
-const LEAVE_AFTER_MS = 2600
+const LEAVE_AFTER_MS = 3000
 const TASK_MS = 1000
 const DEADLINE_MS = 1500
 const BETWEEN_JOBS_MS = 30
